--- /dev/null
+++ b/marlstep/__init__.py
@@ -0,0 +1,1 @@
+"""The node: requests, attempts and outcomes on real sockets, decided by petrelcart."""
--- /dev/null
+++ b/marlstep/core/__init__.py
@@ -0,0 +1,1 @@
+"""Requests, attempts, outcomes and deadlines. Nothing here knows a wire."""
--- /dev/null
+++ b/marlstep/core/engine.py
@@ -0,0 +1,444 @@
+"""The core: drives the decision module on one clock and carries out what it decides.
+
+It owns every request from `submit` until its slot is given back, the keys, the timers, the health, the drain,
+and the final answers, each of which leaves through `_answer` exactly once.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from marlstep.core.keys import KeyTable
+from marlstep.core.model import Answer, Backend, Front, Gauges, Offer, Request, Stage, Store, Ticket, Verdict
+from marlstep.slots import SlotTable, TableFull
+from marlstep.timeline import Deadline, Timeline
+from marlstep.units import MILLISECOND, ZERO, instant, instant_us, span, span_us
+from petrelcart.interface import (
+    Action,
+    Arrival,
+    Attach,
+    Call,
+    CallEnded,
+    CallNeeded,
+    Drain,
+    Effect,
+    Event,
+    Fail,
+    Forget,
+    Gone,
+    Halt,
+    HaltMode,
+    Health,
+    IdleLimit,
+    Keep,
+    Log,
+    Outcome,
+    Refuse,
+    Run,
+    RunEnded,
+    Say,
+    SetTimer,
+    Settings,
+    Skip,
+    TimerDue,
+)
+from petrelcart.policy import Controller
+
+log = logging.getLogger(__name__)
+
+GAUGES_FRESH = 100 * MILLISECOND  # readings this young serve a timer as they are
+GAUGES_WAIT = 20 * MILLISECOND  # a timer waits no longer for new ones
+STOP_MARGIN = 150 * MILLISECOND  # before the process is stopped, all that is left is answered
+MOST_REQUESTS = 20_000  # in hand at once; far beyond what memory in the settings lets the module hold
+
+
+class Refused(Exception):
+    """The request was not taken; nothing ran. The text says why."""
+
+
+@dataclass(slots=True)
+class Ports:
+    gauges: Gauges
+    store: Store | None = None
+
+
+class Core:
+    def __init__(self, settings: Settings, seed: int, timeline: Timeline, ports: Ports) -> None:
+        self.settings = settings
+        self.kinds = {kind.name: kind for kind in settings.classes}
+        self.say: float | None = None  # the free value, carried by every answer
+        self.healthy = True
+        self.counts: Counter[str] = Counter()
+        self.stops_at: datetime | None = None
+        self.on_grace_over: Callable[[], None] = lambda: None
+        self.on_empty: Callable[[], None] = lambda: None
+        self._ports = ports
+        self._timeline = timeline
+        self._controller = Controller(settings, seed)
+        self._requests: SlotTable[Request] = SlotTable(MOST_REQUESTS)
+        self._by_id: dict[str, int] = {}
+        self._keys = KeyTable()
+        self._fronts: list[Front] = []
+        self._events: list[Event] = []
+        self._turn_due = False
+        self._unanswered = 0
+        self._readings: Mapping[str, float] = {}
+        self._read_at: datetime | None = None
+        self._ticks: list[int] = []  # tags of timers that wait for readings
+        self._tick_wait: Deadline | None = None
+        self._run_after: datetime | None = None  # what arrived later is not run: we leave
+
+    def start(self) -> None:
+        self._decide([])
+
+    def add_front(self, front: Front) -> None:
+        self._fronts.append(front)
+
+    @property
+    def draining(self) -> bool:
+        return self.stops_at is not None
+
+    @property
+    def unanswered(self) -> int:
+        return self._unanswered
+
+    @property
+    def in_hand(self) -> int:
+        return len(self._requests)
+
+    # From fronts.
+
+    def submit(self, front: Front, ticket: Ticket, backend: Backend, offer: Offer) -> int:
+        """Take a request that was read. From here on it is owed one answer, unless this raises Refused."""
+        kind = self.kinds.get(offer.kind)
+        if kind is None:
+            raise Refused(f"unknown class {offer.kind[:64]!r}")
+        if offer.id in self._by_id:
+            raise Refused("an id that is in hand already")
+        now = self._timeline.now()
+        key = (offer.kind, offer.once) if offer.once and kind.effect is not Effect.SAFE else None
+        prior = self._keys.find(key, now) if key else None
+        if prior and kind.effect is Effect.UNSAFE:
+            raise Refused("a repeat of work that must not run twice")
+        due = max(now, offer.arrived + span(kind.deadline_us))
+        request = Request(offer, kind, front, ticket, backend, due)
+        try:
+            request.handle = self._requests.add(request)
+        except TableFull as fault:
+            raise Refused(str(fault)) from fault
+        self._by_id[offer.id] = request.handle
+        if key:
+            self._keys.note(key, offer.id)
+        request.deadline = self._timeline.at(due, lambda: self._overdue(request))
+        self._unanswered += 1
+        self.counts["read"] += 1
+        self._post(
+            Arrival(
+                id=offer.id,
+                kind=offer.kind,
+                kb=offer.kb,
+                caller=offer.caller,
+                unread_us=max(0, span_us(now - offer.arrived)),
+                tenant=offer.tenant,
+                key=offer.key,
+                again=offer.retry,
+                rank=offer.rank,
+                hint_us=None if offer.cost is None else span_us(offer.cost),
+                prior=prior.id if prior else None,
+                write=kind.effect is not Effect.SAFE,
+            )
+        )
+        return request.handle
+
+    def client_gone(self, handle: int) -> None:
+        """Nobody can take the answer any more."""
+        request = self._requests.get(handle)
+        if request is not None and not request.answered:
+            self.counts["gone"] += 1
+            self._post(Gone(request.id))
+            self._settle(request)
+
+    # From backends and stores.
+
+    def run_ended(self, id: str, outcome: Outcome, elapsed: timedelta, result: bytes = b"") -> None:
+        request = self._find(id)
+        if request is None:
+            return
+        if outcome is Outcome.CANCELLED and request.halting and not request.answered:
+            request.halting = False
+            dropped = self.settings.halt is HaltMode.DROP
+            request.stage = Stage.HELD if dropped else Stage.PAUSED
+        else:
+            if request.stage is Stage.CALLING and self._ports.store:
+                self._ports.store.give_up(request)
+            request.stage = Stage.OVER
+            self._answer(request, self._answer_for(request, outcome, result))
+            self._pass_on(request, outcome, result)
+        self._post(RunEnded(id, outcome, span_us(elapsed)))
+        self._release_if_over(request)
+
+    def _answer_for(self, request: Request, outcome: Outcome, result: bytes) -> Answer:
+        if outcome is Outcome.OK:
+            return Answer(Verdict.DONE, result)
+        if outcome.never_ran and not request.faulty:
+            return Answer(Verdict.REFUSED, after=self._come_back())
+        return Answer(Verdict.FAILED)
+
+    def call_needed(self, id: str, body: bytes) -> None:
+        request = self._find(id)
+        if request is not None:
+            request.stage, request.call_body = Stage.AT_CALL, body
+            request.halting = False  # it came to the call before the halt reached it
+            self._post(CallNeeded(id))
+
+    def call_ended(self, id: str, outcome: Outcome, reply: bytes = b"") -> None:
+        request = self._find(id)
+        if request is None or request.stage is not Stage.CALLING:
+            return
+        now = self._timeline.now()
+        elapsed = now - (request.called_at or now)
+        request.faulty = outcome is not Outcome.OK
+        if outcome is Outcome.OK:
+            request.stage = Stage.RUNNING
+            request.backend.supply(request, reply)
+        else:
+            request.stage = Stage.AT_CALL
+        self._post(CallEnded(id, outcome, span_us(elapsed)))
+
+    def gauges(self, values: Mapping[str, float]) -> None:
+        self._readings, self._read_at = values, self._timeline.now()
+        if self._ticks:
+            self._post_ticks()
+
+    # The drain.
+
+    def drain(self, stops_at: datetime) -> None:
+        """The notice to leave: arrivals of the grace may run, and all is answered before the end."""
+        if self.draining:
+            return
+        now = self._timeline.now()
+        self.stops_at = stops_at
+        self._run_after = now + span(self.settings.drain_grace_us)
+        log.info("draining: %d in hand, %d unanswered", self.in_hand, self.unanswered)
+        self._post(Drain(instant_us(stops_at)))
+        self._timeline.at(min(self._run_after, stops_at - STOP_MARGIN), self._grace_over)
+        self._timeline.at(stops_at - STOP_MARGIN, self._last_call)
+
+    def _grace_over(self) -> None:
+        for front in self._fronts:
+            front.stop_accepting()
+        self.on_grace_over()
+        self._tell_if_empty()
+
+    def _last_call(self) -> None:
+        """The module answers well before this; it is what stands behind it."""
+        for request in self._requests:
+            self._give_up(request)
+
+    def _tell_if_empty(self) -> None:
+        if self.draining and not self._unanswered:
+            self.on_empty()
+
+    # Turns of the module.
+
+    def _post(self, event: Event) -> None:
+        self._events.append(event)
+        if not self._turn_due:
+            self._turn_due = True
+            self._timeline.soon(self._turn)
+
+    def _turn(self) -> None:
+        self._turn_due = False
+        events, self._events = self._events, []
+        self._decide(events)
+
+    def _decide(self, events: list[Event]) -> None:
+        for action in self._controller.decide(instant_us(self._timeline.now()), events):
+            self._carry_out(action)
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case SetTimer(after_us, tag):
+                self._timeline.at(self._timeline.now() + span(after_us), lambda: self._timer(tag))
+            case Say(value):
+                self.say = value
+            case Health(_, good):
+                self.healthy = good
+            case IdleLimit(after_us):
+                for front in self._fronts:
+                    front.limit_idle(span(after_us))
+            case Log(text):
+                log.info("module: %s", text)
+            case _ if (request := self._find(action.id)) is not None:
+                self._act_on(request, action)
+
+    def _act_on(self, request: Request, action: Action) -> None:
+        match action:
+            case Run():
+                self._run(request)
+            case Halt():
+                if request.stage is Stage.RUNNING:
+                    request.halting = True
+                    request.backend.pause(request)
+            case Refuse(_, retry_after_us, give_up):
+                if request.started and request.kind.effect is not Effect.SAFE:
+                    log.error("the module refused work that has run: failed instead")
+                    self._answer(request, Answer(Verdict.FAILED))
+                else:
+                    self._answer(request, Answer(Verdict.REFUSED, after=span(retry_after_us), last=give_up))
+            case Fail():
+                verdict = Verdict.FAILED if request.faulty else Verdict.EXPIRED
+                self._answer(request, Answer(verdict))
+            case Keep(_, lifetime_us):
+                if request.offer.once:
+                    now = self._timeline.now()
+                    self._keys.keep(
+                        (request.offer.kind, request.offer.once), request.id, now + span(lifetime_us), now
+                    )
+            case Forget():
+                if request.offer.once:
+                    self._keys.drop((request.offer.kind, request.offer.once), request.id, kept_too=True)
+            case Attach():
+                self._attach(request)
+            case Call(_, until_us):
+                self._call(request, instant(until_us))
+            case Skip():
+                request.stage, request.faulty = Stage.RUNNING, False
+                request.backend.skip(request)
+        self._release_if_over(request)
+
+    def _run(self, request: Request) -> None:
+        """The one place where work is started. It stands behind the module on the rules that cost a life."""
+        effect = request.kind.effect is not Effect.SAFE
+        late = self._run_after is not None and request.offer.arrived > self._run_after
+        if request.answered or late or (effect and request.started and request.stage is not Stage.PAUSED):
+            log.error("the module would run %s against the rules: given up", request.id)
+            self._give_up(request)
+            self._post(Gone(request.id))
+        elif request.stage is Stage.PAUSED:
+            request.stage = Stage.RUNNING
+            request.backend.resume(request)
+        elif request.stage is Stage.HELD:
+            request.stage, request.started = Stage.RUNNING, True
+            if request.offer.once and request.kind.effect is Effect.UNSAFE:
+                now = self._timeline.now()
+                window = span(request.kind.window_us + request.kind.deadline_us)
+                self._keys.keep((request.offer.kind, request.offer.once), request.id, now + window, now)
+            self.counts["runs"] += 1
+            request.backend.start(request)
+
+    def _call(self, request: Request, until: datetime) -> None:
+        if request.stage is not Stage.AT_CALL:
+            return
+        request.stage, request.called_at = Stage.CALLING, self._timeline.now()
+        self.counts["calls"] += 1
+        if self._ports.store is None:  # nothing lies below: the call never ran
+            self._timeline.soon(lambda: self.call_ended(request.id, Outcome.CONNECT_FAILED))
+        else:
+            self._ports.store.call(request, until)
+
+    # Repeats of keyed work.
+
+    def _attach(self, request: Request) -> None:
+        known = self._keys.find((request.offer.kind, request.offer.once or ""), self._timeline.now())
+        original = self._find(known.id) if known else None
+        request.stage = Stage.ATTACHED
+        if known and known.result is not None:
+            self._share(request, Outcome.OK, known.result)
+        elif original is not None and original is not request:
+            original.waiting.append(request.id)
+        else:
+            self._share(request, Outcome.ERROR, b"")
+
+    def _pass_on(self, request: Request, outcome: Outcome, result: bytes) -> None:
+        """The end of a run, to the repeats that wait for it and those still to come."""
+        if request.offer.once and outcome is Outcome.OK and request.kind.effect is Effect.KEYED:
+            self._keys.finish((request.offer.kind, request.offer.once), request.id, result)
+        for id in request.waiting:
+            repeat = self._find(id)
+            if repeat is not None and repeat.stage is Stage.ATTACHED:
+                self._share(repeat, outcome if outcome is Outcome.OK else Outcome.ERROR, result)
+        request.waiting.clear()
+
+    def _share(self, repeat: Request, outcome: Outcome, result: bytes) -> None:
+        repeat.stage = Stage.OVER
+        self._answer(
+            repeat, Answer(Verdict.DONE, result) if outcome is Outcome.OK else Answer(Verdict.FAILED)
+        )
+        self._post(RunEnded(repeat.id, outcome, 0))
+        self._release_if_over(repeat)
+
+    # Timers.
+
+    def _timer(self, tag: int) -> None:
+        self._ticks.append(tag)
+        if self._read_at is not None and self._timeline.now() - self._read_at <= GAUGES_FRESH:
+            return self._post_ticks()
+        self._ports.gauges.ask()
+        if self._tick_wait is None:
+            self._tick_wait = self._timeline.at(self._timeline.now() + GAUGES_WAIT, self._post_ticks)
+
+    def _post_ticks(self) -> None:
+        self._timeline.cancel(self._tick_wait)
+        self._tick_wait = None
+        for tag in self._ticks:
+            self._post(TimerDue(tag, self._readings))
+        self._ticks.clear()
+
+    # The end of requests.
+
+    def _overdue(self, request: Request) -> None:
+        """Behind the module, which answers earlier: at the due time the answer goes out whatever happens."""
+        if not request.answered:
+            log.warning("%s was still unanswered when due", request.id)
+            self._give_up(request)
+            self._post(Gone(request.id))
+
+    def _give_up(self, request: Request) -> None:
+        if request.answered:
+            return
+        if request.started:
+            self._answer(request, Answer(Verdict.EXPIRED))
+        else:
+            self._answer(request, Answer(Verdict.REFUSED, after=self._come_back()))
+        self._release_if_over(request)
+
+    def _come_back(self) -> timedelta:
+        """How long a caller is asked to stay away where the module was not asked."""
+        return span(self.settings.max_retry_after_us) if self.settings.retry_after else ZERO
+
+    def _answer(self, request: Request, answer: Answer) -> None:
+        """The one place where final answers go out."""
+        if request.answered:
+            return
+        self.counts[answer.verdict.value] += 1
+        request.front.deliver(request.ticket, answer)
+        self._settle(request)
+
+    def _settle(self, request: Request) -> None:
+        """No answer is owed any more: what is not running is over, what runs is told."""
+        request.answered = True
+        self._unanswered -= 1
+        self._timeline.cancel(request.deadline)
+        if request.stage in (Stage.RUNNING, Stage.AT_CALL, Stage.CALLING):
+            request.backend.abandon(request)
+        elif request.stage is not Stage.OVER:
+            request.stage = Stage.OVER
+            self._pass_on(request, Outcome.ERROR, b"")
+        self._release_if_over(request)
+        self._tell_if_empty()
+
+    def _release_if_over(self, request: Request) -> None:
+        """The one place where a request's slot is given back: answered, and its run over."""
+        if request.answered and request.stage is Stage.OVER and self._requests.free(request.handle):
+            del self._by_id[request.id]
+            if request.offer.once:
+                self._keys.drop((request.offer.kind, request.offer.once), request.id, kept_too=False)
+
+    def _find(self, id: str) -> Request | None:
+        handle = self._by_id.get(id)
+        return None if handle is None else self._requests.get(handle)
--- /dev/null
+++ b/marlstep/core/model.py
@@ -0,0 +1,142 @@
+"""What the core deals in, and the ports through which it meets the world."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from typing import Protocol
+
+from marlstep.timeline import Deadline
+from petrelcart.interface import ClassSettings, Outcome
+
+Ticket = tuple[int, int]  # a front's own way to find where an answer goes
+
+
+@dataclass(slots=True, frozen=True)
+class Offer:
+    """A request as a front has read it."""
+
+    id: str
+    kind: str
+    body: bytes
+    arrived: datetime
+    kb: float
+    caller: int = 0
+    retry: bool = False
+    cost: timedelta | None = None
+    rank: float = 0.0
+    tenant: str | None = None
+    key: int | None = None
+    once: str | None = None  # names the work of which this is one try, where the wire tells
+
+
+class Verdict(enum.Enum):
+    DONE = "done"
+    REFUSED = "refused"  # never ran
+    FAILED = "failed"
+    EXPIRED = "expired"  # failed, as its time ran out
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """The final answer to a request."""
+
+    verdict: Verdict
+    body: bytes = b""
+    after: timedelta = timedelta(0)  # on a refusal: how long to stay away
+    last: bool = False  # on a refusal: the wish that no other node be tried
+
+
+class Stage(enum.Enum):
+    HELD = "held"
+    RUNNING = "running"
+    PAUSED = "paused"
+    AT_CALL = "at call"  # its call is not made yet
+    CALLING = "calling"
+    ATTACHED = "attached"  # waits for the result of another try
+    OVER = "over"
+
+
+class Front(Protocol):
+    """Where requests come from and answers go."""
+
+    def deliver(self, ticket: Ticket, answer: Answer) -> None: ...
+
+    def limit_idle(self, after: timedelta) -> None:
+        """Close connections that carry nothing for longer."""
+
+    def stop_accepting(self) -> None:
+        """Take nothing new; what was read is still answered."""
+
+
+class Backend(Protocol):
+    """What does the work."""
+
+    def start(self, request: Request) -> None: ...
+
+    def pause(self, request: Request) -> None:
+        """Stop the run; where that takes effect, it ends as cancelled."""
+
+    def resume(self, request: Request) -> None: ...
+
+    def supply(self, request: Request, reply: bytes) -> None:
+        """The reply to the call that the run waits for."""
+
+    def skip(self, request: Request) -> None:
+        """Go on without the call."""
+
+    def abandon(self, request: Request) -> None:
+        """The request was answered while its run goes on."""
+
+
+class Store(Protocol):
+    """What calls go to."""
+
+    def call(self, request: Request, until: datetime) -> None: ...
+
+    def give_up(self, request: Request) -> None: ...
+
+
+class Gauges(Protocol):
+    """Readings of the cores, memory and connections."""
+
+    def ask(self) -> None:
+        """The answer comes to `Core.gauges`."""
+
+
+@dataclass(slots=True)
+class Request:
+    offer: Offer
+    kind: ClassSettings
+    front: Front
+    ticket: Ticket
+    backend: Backend
+    due: datetime
+    handle: int = 0
+    stage: Stage = Stage.HELD
+    started: bool = False  # a run has begun, or may have
+    halting: bool = False  # told to stop, and not yet known to have stopped
+    faulty: bool = False  # its last attempt or call went wrong
+    answered: bool = False
+    deadline: Deadline | None = None  # of the final answer
+    call_body: bytes = b""
+    called_at: datetime | None = None
+    waiting: list[str] = field(default_factory=list)  # repeats attached to this one
+
+    @property
+    def id(self) -> str:
+        return self.offer.id
+
+
+class Sink(Protocol):
+    """What backends and stores tell the core."""
+
+    def run_ended(self, id: str, outcome: Outcome, elapsed: timedelta, result: bytes = b"") -> None: ...
+
+    def call_needed(self, id: str, body: bytes) -> None: ...
+
+    def call_ended(self, id: str, outcome: Outcome, reply: bytes = b"") -> None: ...
+
+    def gauges(self, values: Mapping[str, float]) -> None: ...
--- /dev/null
+++ b/marlstep/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Fronts: thin translations between a wire and the core."""
--- /dev/null
+++ b/marlstep/fronts/base.py
@@ -0,0 +1,111 @@
+"""What every front has: a listening socket, a table of connections, and rules for when they end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from datetime import timedelta
+from typing import Generic, TypeVar
+
+from marlstep.core.engine import Core
+from marlstep.core.model import Answer, Ticket
+from marlstep.slots import SlotTable, TableFull
+from marlstep.stream import RingStream
+from marlstep.timeline import Deadline, Timeline
+
+log = logging.getLogger(__name__)
+
+
+class Connection(RingStream):
+    """A front end's connection. It has a slot in its front's table from `made` to `lost`."""
+
+    def __init__(self, front: Listener[Connection], ring_size: int) -> None:
+        super().__init__(ring_size)
+        self.front = front
+        self.handle = 0
+        self._idle: Deadline | None = None
+
+    def made(self) -> None:
+        try:
+            self.handle = self.front.connections.add(self)
+        except TableFull:
+            log.warning("connection turned away: the table is full")
+            self.abort()
+            return
+        self.rest()
+
+    def lost(self) -> None:
+        self.front.timeline.cancel(self._idle)
+        if self.front.connections.free(self.handle):
+            self.gone()
+
+    def rest(self) -> None:
+        """Something went over the connection: its idle time starts anew."""
+        timeline = self.front.timeline
+        timeline.cancel(self._idle)
+        self._idle = None
+        if self.front.idle_after:
+            self._idle = timeline.at(timeline.now() + self.front.idle_after, self._at_rest)
+
+    def _at_rest(self) -> None:
+        self._idle = None
+        self.idle()
+
+    # What a front gives.
+
+    def answer(self, number: int, answer: Answer) -> None:
+        raise NotImplementedError
+
+    def gone(self) -> None:
+        """The connection is lost: nobody can take the answers to what is open there."""
+        raise NotImplementedError
+
+    def idle(self) -> None:
+        """Nothing went over the connection for the front's idle time."""
+        raise NotImplementedError
+
+    def leave(self) -> None:
+        """The front takes nothing new."""
+        raise NotImplementedError
+
+
+C = TypeVar("C", bound=Connection)
+
+
+class Listener(Generic[C]):
+    def __init__(self, core: Core, timeline: Timeline, limit: int, idle_after: timedelta) -> None:
+        self.core = core
+        self.timeline = timeline
+        self.connections: SlotTable[Connection] = SlotTable(limit)
+        self.idle_after = idle_after
+        self.leaving = False
+        self._server: asyncio.Server | None = None
+
+    def make(self) -> Connection:
+        raise NotImplementedError
+
+    async def listen(self, address: tuple[str, int]) -> None:
+        host, port = address
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self.make, host, port, backlog=512, reuse_address=True)
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on; where 0 was asked for, the one the system gave."""
+        return int(self._server.sockets[0].getsockname()[1]) if self._server else 0
+
+    def deliver(self, ticket: Ticket, answer: Answer) -> None:
+        handle, number = ticket
+        connection = self.connections.get(handle)
+        if connection is not None:
+            connection.answer(number, answer)
+
+    def limit_idle(self, after: timedelta) -> None:
+        self.idle_after = after
+
+    def stop_accepting(self) -> None:
+        self.leaving = True
+        if self._server is not None:
+            self._server.close()
+        for connection in self.connections:
+            connection.leave()
--- /dev/null
+++ b/marlstep/fronts/resp.py
@@ -0,0 +1,222 @@
+"""The front for the platform: frames to requests, answers to frames.
+
+What is bad gets a stated answer. A frame that can be read but asks for what can't be had (an unknown class,
+a field that is wrong, over 32 open) is answered `error`, and the connection goes on. Where the frames can't
+be told apart any more, or a tag comes again, what is open there is answered, and the connection is closed; a
+tag that was whole by then is answered `error` as well.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from datetime import timedelta
+
+from marlstep.core.engine import Core, Refused
+from marlstep.core.model import Answer, Backend, Offer, Verdict
+from marlstep.fronts.base import Connection, Listener
+from marlstep.fronts.resp_wire import FrameReader, Malformed, read_fields, read_tag, write_fields, write_frame
+from marlstep.timeline import Timeline
+from marlstep.units import EPOCH, MILLISECOND, SECOND, whole_ms
+
+log = logging.getLogger(__name__)
+
+RING_SIZE = 16 * 1024
+OPEN_LIMIT = 32  # requests on one connection
+TAGS_AHEAD = 1024  # tags remembered out of order; one who jumps about more breaks the protocol
+CLOSE_AFTER = 2 * SECOND  # a peer that was told of the close and stays is cut off
+WORDS = {
+    Verdict.DONE: b"done",
+    Verdict.REFUSED: b"later",
+    Verdict.FAILED: b"error",
+    Verdict.EXPIRED: b"error",
+}
+
+
+def read_offer(kind: bytes, fields: bytes, body: bytes) -> Offer:
+    """A request out of its words; raises ValueError that names what is wrong."""
+    table = read_fields(fields)
+    id = table.get("id", "")
+    if len(id) != 16 or not all(digit in "0123456789abcdef" for digit in id):
+        raise ValueError("id is not 16 hex digits")
+    at = table.get("at", "")
+    if not at.isdigit() or len(at) > 14:
+        raise ValueError("at is no time in milliseconds")
+    key = table.get("key")
+    return Offer(
+        id=id,
+        kind=kind.decode("ascii"),
+        body=body,
+        arrived=EPOCH + int(at) * MILLISECOND,
+        kb=_number(table, "kb", above=0, below=2000),
+        caller=int(_number(table, "from", default=0, below=1e9)),
+        retry=table.get("retry") == "1",
+        cost=_number(table, "cost", below=1e9) * MILLISECOND if "cost" in table else None,
+        rank=_number(table, "rank", default=0, below=1),
+        tenant=table.get("tenant"),
+        key=int(key, 16) >> 11 if key else None,
+        once=table.get("once"),
+    )
+
+
+def _number(
+    table: dict[str, str], name: str, default: float | None = None, above: float = -1, below: float = math.inf
+) -> float:
+    text = table.get(name)
+    if text is None and default is not None:
+        return default
+    try:
+        value = float(text or "")
+    except ValueError:
+        raise ValueError(f"{name} is no number") from None
+    if not above < value < below or value < 0:
+        raise ValueError(f"{name} is out of range")
+    return value
+
+
+class Tags:
+    """Which tags a connection has used: all up to one, and a few beyond."""
+
+    def __init__(self) -> None:
+        self._upto = 0
+        self._beyond: set[int] = set()
+
+    def take(self, tag: int) -> bool:
+        """False where the tag was used before, or where too many lie out of order."""
+        if tag <= self._upto or tag in self._beyond or len(self._beyond) >= TAGS_AHEAD:
+            return False
+        self._beyond.add(tag)
+        while self._upto + 1 in self._beyond:
+            self._upto += 1
+            self._beyond.remove(self._upto)
+        return True
+
+
+class RespConnection(Connection):
+    front: RespFront  # type: ignore[assignment]
+
+    def __init__(self, front: RespFront) -> None:
+        super().__init__(front, RING_SIZE)  # type: ignore[arg-type]
+        self._frames = FrameReader()
+        self._tags = Tags()
+        self._open: dict[int, int] = {}  # tag to request
+        self._leaving = False  # nothing new is read here
+
+    def made(self) -> None:
+        super().made()
+        if self.front.leaving:
+            self.leave()
+
+    def received(self) -> None:
+        if self.inbox.used:
+            self.rest()
+        while not self._leaving_for_good and not self.clogged:
+            try:
+                frame = self._frames.next(self.inbox)
+            except Malformed as fault:
+                self._malformed(fault)
+                return
+            if frame is None:
+                break
+            self._take_frame(frame)
+        if self._leaving_for_good:
+            self.inbox.skip(self.inbox.used)
+        if self.at_end and not self._open:
+            self.finish()
+
+    _leaving_for_good = False  # the stream can't be trusted any more
+
+    def _take_frame(self, frame: list[bytes]) -> None:
+        tag = read_tag(frame[1]) if len(frame) > 1 else None
+        if tag is None or not self._tags.take(tag):
+            self._malformed(Malformed("no tag, or one that came before", None))
+        elif frame[0] == b"ALIVE" and len(frame) <= 3:
+            self._say(tag, b"healthy" if self.front.core.healthy else b"sick", {}, b"")
+        elif frame[0] == b"EXEC" and 4 <= len(frame) <= 5:
+            self._exec(tag, frame[2], frame[3], frame[4] if len(frame) == 5 else b"")
+        else:
+            self._fail(tag, "unknown command")
+
+    def _exec(self, tag: int, kind: bytes, fields: bytes, body: bytes) -> None:
+        if len(self._open) >= OPEN_LIMIT:
+            self._fail(tag, f"over {OPEN_LIMIT} open")
+            return
+        try:
+            offer = read_offer(kind, fields, body)
+            self._open[tag] = self.front.core.submit(
+                self.front, (self.handle, tag), self.front.backend, offer
+            )
+        except (ValueError, OverflowError, Refused) as fault:
+            self._fail(tag, str(fault))
+
+    def _fail(self, tag: int, why: str) -> None:
+        log.warning("request refused unread: %s", why)
+        self._say(tag, WORDS[Verdict.FAILED], {}, b"")
+
+    def _malformed(self, fault: Malformed) -> None:
+        log.warning("malformed: %s", fault)
+        if fault.tag is not None and self._tags.take(fault.tag):
+            self._fail(fault.tag, str(fault))
+        self._leaving_for_good = True
+        self.inbox.skip(self.inbox.used)
+        self.leave()
+
+    def answer(self, number: int, answer: Answer) -> None:
+        self._open.pop(number, None)
+        fields: dict[str, str] = {}
+        if answer.verdict is Verdict.REFUSED:
+            if answer.after:
+                fields["after"] = str(whole_ms(answer.after))
+            if answer.last:
+                fields["last"] = "1"
+        self._say(number, WORDS[answer.verdict], fields, answer.body)
+        self.rest()
+        if not self._open and (self.at_end or self._leaving_for_good):
+            self.finish()
+
+    def _say(self, tag: int, word: bytes, fields: dict[str, str], body: bytes) -> None:
+        if self.front.core.say is not None:
+            fields = {"say": f"{self.front.core.say:.4f}", **fields}
+        self.send(write_frame(b"%d" % tag, word, write_fields(fields), body))
+
+    def gone(self) -> None:
+        for handle in self._open.values():
+            self.front.core.client_gone(handle)
+        self._open.clear()
+
+    def idle(self) -> None:
+        if not self._open:
+            self.leave()
+
+    def leave(self) -> None:
+        """Tell the peer to send nothing more here. It closes when all is answered, or is closed on later."""
+        if self._leaving_for_good and not self._open:
+            self._send_closing()
+            self.finish()
+        elif not self._leaving:
+            self._send_closing()
+            timeline = self.front.timeline
+            timeline.at(timeline.now() + CLOSE_AFTER, self._cut)
+        self._leaving = True
+
+    def _send_closing(self) -> None:
+        if not self._leaving:
+            self.send(write_frame(b"0", b"closing"))
+
+    def _cut(self) -> None:
+        if not self._open and not self._frames.inside:
+            self.finish()
+        elif self.connected:
+            timeline = self.front.timeline
+            timeline.at(timeline.now() + CLOSE_AFTER, self._cut)
+
+
+class RespFront(Listener[RespConnection]):
+    def __init__(
+        self, core: Core, timeline: Timeline, backend: Backend, limit: int, idle_after: timedelta
+    ) -> None:
+        super().__init__(core, timeline, limit, idle_after)
+        self.backend = backend
+
+    def make(self) -> RespConnection:
+        return RespConnection(self)
--- /dev/null
+++ b/marlstep/kernel.py
@@ -0,0 +1,274 @@
+"""The link to the kernel, which owns the cores: commands out, notices in.
+
+The link is made again whenever it breaks. Each notice is applied once, by its number. A command stays in the
+ledger until a notice speaks of its request; after a break what the kernel may not have read is sent again,
+once the notices it kept have been applied.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from marlstep.core.model import Request, Sink
+from marlstep.ring import LineTooLong
+from marlstep.stream import RingStream
+from marlstep.timeline import Timeline
+from marlstep.units import MILLISECOND, ZERO
+from petrelcart.interface import Outcome
+
+log = logging.getLogger(__name__)
+
+ENDS = {
+    "complete": Outcome.OK,
+    "error": Outcome.ERROR,
+    "cancelled": Outcome.CANCELLED,
+    "unknown": Outcome.MOOT,
+}
+RING_SIZE = 256 * 1024
+LINE_LIMIT = 8 * 1024
+BODY_LIMIT = 64 * 1024  # of a result or a call; the protocol names 4 KiB for results
+RETRY_FIRST, RETRY_MOST = 50 * MILLISECOND, 1000 * MILLISECOND
+SYNC_TAG = "sync"
+
+
+class KernelFault(ValueError):
+    """The kernel wrote what can't be understood."""
+
+
+def _number(word: str) -> int:
+    if not (word.isascii() and word.isdigit()):
+        raise KernelFault(f"not a number: {word[:32]!r}")
+    return int(word)
+
+
+def _milliseconds(word: str) -> timedelta:
+    """Figures that only inform may be odd: a notice must not be lost for them."""
+    try:
+        return max(ZERO, min(float(word), 1e9) * MILLISECOND)
+    except (ValueError, OverflowError):
+        log.warning("not a time: %r", word[:32])
+        return ZERO
+
+
+class _Link(RingStream):
+    """One connection: cuts the stream into notices."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(RING_SIZE)
+        self._kernel = kernel
+        self._words: list[str] | None = None  # of a notice whose body is not whole yet
+        self._length = 0
+
+    def made(self) -> None:
+        self._kernel.link_up(self)
+
+    def lost(self) -> None:
+        self._kernel.link_lost(self)
+
+    def received(self) -> None:
+        try:
+            while self._next():
+                pass
+        except (KernelFault, LineTooLong) as fault:
+            # What follows can't be told apart any more; the kernel keeps its notices for a new link.
+            log.error("kernel link dropped: %s", fault)
+            self.abort()
+        if self.at_end:
+            self.abort()
+
+    def _next(self) -> bool:
+        if self._words is None:
+            line = self.inbox.line(LINE_LIMIT)
+            if line is None:
+                return False
+            words = line.decode("ascii", "replace").split(" ")
+            if words[0] not in ("REAP", "IOREQ"):
+                self._kernel.notice(words, b"")
+                return True
+            if len(words) != (6 if words[0] == "REAP" else 4):
+                raise KernelFault(f"malformed {words[0]}")
+            self._length = _number(words[-1])
+            if self._length > BODY_LIMIT:
+                raise KernelFault(f"a body of {self._length} bytes")
+            self._words = words
+        if self.inbox.used < self._length + 2:
+            return False
+        body = self.inbox.take(self._length)
+        if self.inbox.take(2) != b"\r\n":
+            raise KernelFault("a body longer than its length")
+        words, self._words = self._words, None
+        self._kernel.notice(words, body)
+        return True
+
+
+class Kernel:
+    """The one client of the kernel; a backend and the gauges of the core."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        gauge_names: Sequence[str],
+        timeline: Timeline,
+        sink: Callable[[], Sink],
+    ) -> None:
+        self._address = address
+        self._gauge_names = gauge_names
+        self._timeline = timeline
+        self._sink = sink
+        self._link: _Link | None = None
+        self._synced = False
+        self._last = 0  # the number of the last notice that was read
+        self._unconfirmed: dict[str, list[bytes]] = {}
+        self._call_numbers: dict[str, int] = {}  # the notice by which a run asked for its call
+        self._retry = RETRY_FIRST
+        self._closing = False
+        self._asked = 0
+        self._task: asyncio.Task[None] | None = None
+
+    def open(self) -> None:
+        self._connect()
+
+    def close(self) -> None:
+        self._closing = True
+        if self._link is not None:
+            self._link.abort()
+
+    def _connect(self) -> None:
+        if not self._closing:
+            self._task = asyncio.get_running_loop().create_task(self._open())
+
+    async def _open(self) -> None:
+        try:
+            await asyncio.get_running_loop().create_connection(lambda: _Link(self), *self._address)
+        except OSError as fault:
+            log.warning("kernel not reached: %s", fault)
+            self._connect_later()
+
+    def _connect_later(self) -> None:
+        if not self._closing:
+            self._timeline.at(self._timeline.now() + self._retry, self._connect)
+            self._retry = min(RETRY_MOST, self._retry * 2)
+
+    # The link.
+
+    def link_up(self, link: _Link) -> None:
+        self._link, self._synced = link, False
+        link.send(b"OPEN %d\r\n" % self._last)
+
+    def link_lost(self, link: _Link) -> None:
+        if self._link is link:
+            self._link, self._synced = None, False
+            if not self._closing:
+                log.warning("kernel link lost after notice %d", self._last)
+            self._connect_later()
+
+    def notice(self, words: list[str], body: bytes) -> None:
+        match words:
+            case ["BOOTED", state, ms]:
+                self._booted(state, ms)
+            case ["INFO", tag, *values]:
+                self._info(tag, values)
+            case ["EINVAL", command, id]:
+                self._invalid(command, id)
+            case ["REAP", number, id, end, ms, _]:
+                if self._is_new(_number(number)):
+                    self._confirm(id)
+                    self._sink().run_ended(id, ENDS.get(end, Outcome.ERROR), _milliseconds(ms), body)
+            case ["IOREQ", number, id, _]:
+                if self._is_new(_number(number)):
+                    self._confirm(id)
+                    self._call_numbers[id] = int(number)
+                    self._sink().call_needed(id, body)
+            case ["DMESG", number, *text]:
+                if self._is_new(_number(number)):
+                    log.info("kernel: %s", " ".join(text)[:200])
+            case _:
+                # It has no body, so what follows can still be read: no reason to give up the link.
+                log.warning("unknown notice %r", " ".join(words)[:64])
+
+    def _is_new(self, number: int) -> bool:
+        """Each notice counts once, however often a new link repeats it."""
+        if number <= self._last:
+            return False
+        if number > self._last + 1:
+            log.error("kernel notices %d to %d were never read", self._last + 1, number - 1)
+        self._last = number
+        return True
+
+    def _booted(self, state: str, age: str) -> None:
+        log.info("kernel up, %s at its start %s ms ago", state, age)
+        self._retry = RETRY_FIRST
+        if self._link is not None:
+            # The notices that were missed come before the answer to this.
+            self._link.send(f"SYSINFO {SYNC_TAG}\r\n".encode())
+
+    def _info(self, tag: str, values: list[str]) -> None:
+        if tag == SYNC_TAG and not self._synced:
+            self._synced = True
+            for commands in list(self._unconfirmed.values()):
+                for command in commands:
+                    self._write(command)
+        try:
+            numbers = [float(value) for value in values]
+        except ValueError as fault:
+            log.warning("malformed gauges: %s", fault)
+            return
+        self._sink().gauges(dict(zip(self._gauge_names, numbers, strict=False)))
+
+    def _invalid(self, command: str, id: str) -> None:
+        """A command was not carried out. Where a run hangs on it, that run is over."""
+        log.warning("kernel: EINVAL %s %s", command, id)
+        asked = [one.split(b" ", 1)[0].decode() for one in self._unconfirmed.get(id, [])]
+        if command in asked:
+            self._unconfirmed[id].pop(asked.index(command))
+        if command == "SCHED" and command in asked:
+            self._confirm(id)
+            self._sink().run_ended(id, Outcome.MOOT, ZERO)
+        elif command in ("RESCHED", "IODONE", "NOIO") and command in asked:
+            self._confirm(id)
+            self._sink().run_ended(id, Outcome.ERROR, ZERO)
+
+    # Commands.
+
+    def start(self, request: Request) -> None:
+        offer = request.offer
+        head = f"SCHED {offer.id} {offer.kind} {len(offer.body)}\r\n".encode()
+        self._command(offer.id, head + offer.body + b"\r\n")
+
+    def pause(self, request: Request) -> None:
+        self._command(request.id, f"PREEMPT {request.id}\r\n".encode())
+
+    def resume(self, request: Request) -> None:
+        self._command(request.id, f"RESCHED {request.id}\r\n".encode())
+
+    def supply(self, request: Request, reply: bytes) -> None:
+        self._command(request.id, f"IODONE {request.id} {len(reply)}\r\n".encode() + reply + b"\r\n")
+
+    def skip(self, request: Request) -> None:
+        number = self._call_numbers.get(request.id, 0)
+        self._command(request.id, f"NOIO {request.id} {number}\r\n".encode())
+
+    def abandon(self, request: Request) -> None:
+        """The kernel ends the run of a request that is over at its next call, or runs it out."""
+
+    def ask(self) -> None:
+        if self._synced:
+            self._asked += 1
+            self._write(b"SYSINFO g%d\r\n" % self._asked)
+
+    def _command(self, id: str, command: bytes) -> None:
+        self._unconfirmed.setdefault(id, []).append(command)
+        if self._synced:
+            self._write(command)
+
+    def _write(self, data: bytes) -> None:
+        if self._link is not None:
+            self._link.send(data)
+
+    def _confirm(self, id: str) -> None:
+        """A notice spoke of the request: the kernel has read what was sent for it."""
+        self._unconfirmed.pop(id, None)
+        self._call_numbers.pop(id, None)
