Answer given-up requests at once, and tell their callers when to come back

Checked: _fill skipped such entries (`continue`) and only _wake at the due time answered them; _answer wrote retry_after 0. Ruled out: the drain and a full hold, which answer at once already. At fault: policy.py _fill and _answer. Now an entry that is worth nothing after its aim is answered in that turn (refused with the time of the line, bounded by the told maximum, or failed if it has run, and then halted), and a wake at the aim brings that turn about. Before the aim waiting stays, as a core may come free. Also: a halt that takes effect after the beat by which it was taken for lost pauses the run; it was counted as over with its answer still owed. On sockets that order can happen.

--- a/petrelcart/policy.py
+++ b/petrelcart/policy.py
@@ -28,7 +28,7 @@
 LEARN = 0.1  # weight of the newest in a mean: of runs by class, of calls, of the lag of reading
 NEED = 0.5  # of that mean: with less time left a run would most likely end too late
 LAG_SHARE = 0.1  # of the shortest aim: reading that lags more gets cores back from the running set
-CREDIT_SHARE = 0.5  # of the shortest aim: as much work as callers may have out here, once there is a line
+CREDIT_SHARE = 0.3  # of the shortest aim: as much work as callers may have out here, once there is a line
 FADE = 0.8  # what a second leaves of the measured use of the cores: some seconds back count
 SECOND, NEVER = 1_000_000, 1 << 62
 
@@ -44,6 +44,9 @@
     OVER = enum.auto()
 
 
+ALIVE = (State.RUNNING, State.STOPPING, State.AT_CALL, State.CALLING, State.PAUSED, State.HELD)
+
+
 @dataclass(slots=True)
 class Entry:
     id: str
@@ -144,7 +147,7 @@
         entry = Entry(event.id, kind, kind.worth, arrived, due, aim, known, event.kb, self.number)
         self.ledger[entry.id] = entry
         self._move(entry, State.HELD)
-        self._wake_at(entry, entry.due - self.lead)
+        self._wake_at(entry, min(entry.aim + 1, entry.due - self.lead))
         prior = self.ledger.get(event.prior) if event.prior else None
         while prior and prior.see:  # two tries of one key must never both be held, whichever is named
             prior = prior.see
@@ -183,7 +186,8 @@
             case CallEnded():
                 self._call_ended(entry, event)
             case RunEnded():
-                if event.outcome is Outcome.CANCELLED and entry.owed and entry.state is State.STOPPING:
+                halted = entry.state in (State.STOPPING, State.RUNNING)  # or it had been taken for lost
+                if event.outcome is Outcome.CANCELLED and entry.owed and halted:
                     entry.paused = True
                     self._move(entry, State.PAUSED if self.settings.halt is HaltMode.PAUSE else State.HELD)
                     return
@@ -285,8 +289,10 @@
     def _fill(self) -> None:
         """Start what comes first while the running set has room; what outranks a run takes its place."""
         running = self.by_state[State.RUNNING]
-        for entry in self._all(State.RUNNING, State.PAUSED, State.HELD):
+        for entry in self._all(*ALIVE):
             entry.worth = self._worth(entry)
+            if entry.worth <= 0 and self.now > entry.aim:  # no hope is left: its caller hears so at once
+                self._answer(entry)
             if entry.worth <= 0 and entry.state is State.RUNNING:
                 self._halt(entry)
         limit = max(1.0, self.limit * self._squeeze())
@@ -294,8 +300,8 @@
             pass
         ahead, full = 0, False
         for entry in sorted(self._all(State.PAUSED, State.HELD), key=_rank):
-            if entry.worth <= 0 and (len(running) >= self.settings.cores or self.now > entry.aim):
-                continue  # it may yet end in time, on a core that is free anyway
+            if entry.worth <= 0 and len(running) >= self.settings.cores:
+                continue  # its aim is not past: it may yet end in time, on a core that comes free
             if not full and len(running) + 1 > limit:
                 self.was_full = True
                 full = not self._pause_lowest(entry.worth)
@@ -360,9 +366,16 @@
         if entry.owed:
             # Tries that walk on cost every server a read: only the highest class may, and all when we leave.
             walk = self.drained < NEVER or entry.kind.worth == max(self.spent)
-            self.actions.append(Fail(entry.id) if entry.ran else Refuse(entry.id, 0, give_up=not walk))
+            back = 0 if entry.ran else self._come_back()
+            self.actions.append(Fail(entry.id) if entry.ran else Refuse(entry.id, back, give_up=not walk))
             self._leave(entry)
 
+    def _come_back(self) -> int:
+        """How long to stay away: till what waits here is done, at the pace of the last seconds."""
+        most = self.settings.max_retry_after_us * self.settings.retry_after
+        line = len(self._all(State.HELD, State.PAUSED)) * self._pace() / self.limit
+        return most if self.drained < NEVER else int(min(most, max(self.beat, line)))
+
     def _leave(self, entry: Entry) -> None:
         """Nobody waits for it any more; what runs is stopped or not by what it is still worth."""
         entry.owed = False
@@ -425,6 +438,8 @@
             self._release(entry, forget=False)
         if entry.owed and entry.due - self.lead <= self.now:
             self._answer(entry)
+        elif entry.owed:  # it was the aim: what is still worth something is looked at again when due
+            self._wake_at(entry, entry.due - self.lead)
         if entry.state is State.OVER and entry.known_until <= self.now:
             self.ledger.pop(entry.id, None)
 
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -17,8 +17,8 @@
 
 
 def test_the_milliseconds_of_a_notice_may_be_a_fraction() -> None:
-    # Guards against the wedge of the first calm day: `REAP ... 25.382 ...` was taken for a fault, the link was
-    # dropped before the notice counted as read, and each new link was given the same notice again.
+    # Guards against the wedge of the first calm day: `REAP ... 25.382 ...` was taken for a fault, and
+    # the link was dropped before the notice counted as read, and each new link began with it again.
     rig = Rig()
     wire = rig.connect()
     wire.feed(b"BOOTED hot 12.5\r\nREAP 1 9b1f03aa5c7e2d41 complete 25.382 2\r\nok\r\n")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -16,7 +16,7 @@
     Refuse,
     RunEnded,
 )
-from tests.helpers import MS, START, Server, a_class
+from tests.helpers import MS, START, UNSAFE, Server, a_class
 
 # No request is lost.
 
@@ -36,7 +36,9 @@
 
 
 def test_without_a_told_wait_the_class_deadline_counts_from_arrival_at_the_machine() -> None:
-    server = Server(cores=1)
+    server = Server(
+        cores=1, classes=(a_class("low", late_share=0.5),)
+    )  # late answers count: it waits till due
     server.arrive("run", gives_up_us=None, unread_us=1_000 * MS)
     server.tick(after_ms=2900)
     assert ("Fail", "run") not in server.done
@@ -44,6 +46,52 @@
     assert ("Fail", "run") in server.done
 
 
+def given_up(kind: str, started: bool) -> tuple[Server, list[Refuse]]:
+    """One request whose aim passes: held behind a run of another, or started and then paused by it."""
+    server = Server(cores=1, classes=(a_class("low"), a_class("top", worth=9.0, aim_us=4_000 * MS), UNSAFE))
+    if started:
+        server.arrive("lost", kind)
+    server.arrive("run", "top")
+    if started:
+        server.end("lost", Outcome.CANCELLED)
+    else:
+        server.arrive("lost", kind)
+    server.tick(after_ms=1990)
+    assert not {("Refuse", "lost"), ("Fail", "lost")} & set(server.done)
+    server.tick(after_ms=11)
+    return server, server.find(Refuse)
+
+
+def test_a_held_request_past_hope_is_refused_at_once_with_a_time_to_come_back() -> None:
+    # Guards against keeping what is worth nothing until it is due, so that its caller does not ask again.
+    server, [refusal] = given_up("low", started=False)
+    assert ("Refuse", "lost") in server.done
+    assert 0 < refusal.retry_after_us <= server.settings.max_retry_after_us
+
+
+@pytest.mark.parametrize("kind", ["low", "unsafe"])
+def test_a_paused_request_past_hope_is_failed_at_once_and_never_refused(kind: str) -> None:
+    server, refusals = given_up(kind, started=True)
+    assert ("Fail", "lost") in server.done and not refusals
+
+
+def test_where_callers_are_told_no_time_refusals_name_none() -> None:
+    server = Server(retry_after=False)
+    server.arrive("odd", gives_up_us=START - 1)
+    assert [refusal.retry_after_us for refusal in server.find(Refuse)] == [0]
+
+
+def test_a_halt_that_takes_effect_late_still_pauses() -> None:
+    # On sockets the word that a run has stopped can come after the beat by which the halt was taken for lost.
+    # The request was then counted as over while its answer was still owed.
+    server = Server(cores=1)
+    server.arrive("low")
+    server.arrive("top", "high")
+    server.end("top")
+    server.tick(after_ms=500)
+    assert server.end("low", Outcome.CANCELLED) == [("Run", "low")]
+
+
 def test_a_request_read_past_its_due_time_is_answered_at_once() -> None:
     server = Server()
     server.arrive("late", gives_up_us=START - 1)
