Add the uwsgi front: packet to answer over the same core, with its upstream client

What it does: reads uwsgi packets, maps variables as an operator's file says, submits to the same core and module, and sends the packet on, unchanged, to an uwsgi server. Done is the upstream's answer, refused 503 with Retry-After, failed 502, out of time 504, malformed 400 and close, a body over the limit 413.

Found while testing, each with its test: - "nothing was started" at the resume of a paused run was taken for proof that the request never ran (engine.py _answer_for); a run known to have begun is failed now. - a refused connect left the name of a setpoint noted as run; it is dropped, as the work may come again. - after SIGTERM the node ended 50 ms after the last answer, with front ends still connected; it now waits until they have closed, or 100 ms before it is stopped. - PacketReader gave the same packet for ever when asked again; it starts anew.

Checked: packets cut at every byte, a malformed length in the drain, a backend that dies, cuts short, hangs or never ends, a client that is gone, a deadline in a run, arrivals 2.51 s after the notice.

--- a/marlstep/__main__.py
+++ b/marlstep/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import logging
 import signal
@@ -14,61 +15,108 @@
 from marlstep.db import Database
 from marlstep.eventloop import LoopWaker
 from marlstep.fronts.resp import RespFront
+from marlstep.fronts.uwsgi import UwsgiFront
 from marlstep.kernel import Kernel
 from marlstep.naming import Naming
 from marlstep.timeline import Timeline
 from marlstep.units import MILLISECOND, span
+from marlstep.upstream import Upstream
 
 log = logging.getLogger("marlstep")
 
 OTHER_SOCKETS = 64  # descriptors that are no front end's connection
-FLUSH = 50 * MILLISECOND  # for the last answers to reach their sockets
+END_WATCH = 20 * MILLISECOND  # between looks at whether the drain is done
+END_MARGIN = 100 * MILLISECOND  # before the process is stopped, it ends by itself
 
 
 async def serve(config: Config) -> None:
-    loop = asyncio.get_running_loop()
-    timeline = Timeline(LoopWaker(loop))
-    ended = asyncio.Event()
-
-    def core_now() -> Core:
-        return core
-
-    kernel = Kernel(config.kernel, config.gauges, timeline, core_now)
-    database = Database(config.db, timeline, core_now) if config.db else None
-    core = Core(config.settings, config.seed, timeline, Ports(kernel, database))
-    front = RespFront(core, timeline, kernel, config.sockets - OTHER_SOCKETS, span(config.settings.idle_us))
-    core.add_front(front)
-    naming = Naming(config.name, config.naming, timeline) if config.naming else None
-
-    def leave() -> None:
-        core.drain(timeline.now() + config.stop)
-        if naming is not None:
-            naming.leave()
-
-    def end_if_empty() -> None:
-        if front.leaving and not core.unanswered:
-            timeline.at(timeline.now() + FLUSH, ended.set)
-
-    core.on_empty = end_if_empty
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, leave)
-    core.start()
-    await front.listen(config.listen)
-    kernel.open()
-    if naming is not None:
-        await naming.open()
-    log.info("%s listens on %s:%d", config.name, *config.listen)
-    await ended.wait()
-    log.info("ends: %s", dict(core.counts))
-    kernel.close()
-    if database is not None:
-        database.close()
+    timeline = Timeline(LoopWaker(asyncio.get_running_loop()))
+    node = Node(config, timeline)
+    await node.open()
+    await node.ended.wait()
+    node.close()
+
+
+class Node:
+    """All parts of one node, and the order in which they come and go."""
+
+    def __init__(self, config: Config, timeline: Timeline) -> None:
+        self.config, self.timeline = config, timeline
+        self.ended = asyncio.Event()
+        self.kernel = Kernel(config.kernel, config.gauges, timeline, lambda: self.core)
+        self.database = Database(config.db, timeline, lambda: self.core) if config.db else None
+        self.core = Core(config.settings, config.seed, timeline, Ports(self.kernel, self.database))
+        self.naming = Naming(config.name, config.naming, timeline) if config.naming else None
+        room, idle = config.sockets - OTHER_SOCKETS, span(config.settings.idle_us)
+        self.uwsgi: UwsgiFront | None = None
+        self.upstream: Upstream | None = None
+        if (second := config.uwsgi) is not None:
+            # Each of its requests may hold two descriptors: the client's and the upstream's.
+            limit = min(second.connections, room // 4)
+            room -= 2 * limit
+            self.upstream = Upstream(second.upstream, timeline, lambda: self.core, second.response_limit)
+            self.uwsgi = UwsgiFront(
+                self.core,
+                timeline,
+                self.upstream,
+                limit,
+                second.read_timeout,
+                second.mapped,
+                second.body_limit,
+            )
+        self.resp = RespFront(self.core, timeline, self.kernel, room, idle)
+        self.fronts = [front for front in (self.resp, self.uwsgi) if front is not None]
+        for front in self.fronts:
+            self.core.add_front(front)
+        self.core.on_grace_over = self._watch_end
+
+    async def open(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.leave)
+        self.core.start()
+        await self.resp.listen(self.config.listen)
+        log.info("%s listens on %s:%d", self.config.name, *self.config.listen)
+        if self.uwsgi is not None and self.config.uwsgi is not None:
+            await self.uwsgi.listen(self.config.uwsgi.listen)
+            log.info("uwsgi on %s:%d", *self.config.uwsgi.listen)
+        self.kernel.open()
+        if self.naming is not None:
+            await self.naming.open()
+
+    def leave(self) -> None:
+        self.core.drain(self.timeline.now() + self.config.stop)
+        if self.naming is not None:
+            self.naming.leave()
+
+    def _watch_end(self) -> None:
+        """After the grace: end once all is answered and the peers have closed, or when time is up."""
+        open_still = sum(len(front.connections) for front in self.fronts)
+        now = self.timeline.now()
+        out_of_time = self.core.stops_at is not None and now >= self.core.stops_at - END_MARGIN
+        if out_of_time or not (open_still or self.core.unanswered):
+            self.ended.set()
+        else:
+            self.timeline.at(now + END_WATCH, self._watch_end)
+
+    def close(self) -> None:
+        log.info("ends with %d unanswered: %s", self.core.unanswered, dict(self.core.counts))
+        self.kernel.close()
+        if self.database is not None:
+            self.database.close()
+        if self.upstream is not None:
+            self.upstream.close()
 
 
 def main() -> int:
+    parser = argparse.ArgumentParser(prog="marlstep", description="One real node.")
+    parser.add_argument(
+        "--operator", metavar="FILE", help="the operator's file, for what the platform does not set"
+    )
+    options = parser.parse_args()
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
-        config = load()
+        config = load(operator=options.operator)
     except ConfigError as fault:
         print(f"marlstep: {fault}", file=sys.stderr)
         return 2
--- a/marlstep/config.py
+++ b/marlstep/config.py
@@ -8,11 +8,13 @@
 import ipaddress
 import json
 import os
-from collections.abc import Mapping
+import tomllib
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
 
+from marlstep.fronts.mapped import Mapped
 from marlstep.units import MILLISECOND
 from petrelcart.benchlink import read_settings
 from petrelcart.interface import Settings
@@ -38,33 +40,53 @@
     sockets: int
     settings: Settings
     gauges: tuple[str, ...]  # names of the kernel's readings, in its order
+    uwsgi: UwsgiConfig | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class UwsgiConfig:
+    """The second front, from the operator's file."""
+
+    listen: Address
+    upstream: Address
+    mapped: Mapped
+    body_limit: int
+    response_limit: int
+    connections: int
+    read_timeout: timedelta
 
 
 GAUGES = {"cpu_busy": "cpu", "runnable": "runq", "mem_used": "memory", "sockets": "conns"}
 
 
-def load(environ: Mapping[str, str] = os.environ) -> Config:
+VARIABLES = {"name": "PROXY_NAME", "listen": "PROXY_LISTEN"}
+
+
+def load(environ: Mapping[str, str] = os.environ, operator: str | None = None) -> Config:
     path = environ.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG is not set: it names the configuration file")
+    raw = _file(path, "PROXY_CONFIG", json.loads)
+    named = {key: environ[variable] for key, variable in VARIABLES.items() if environ.get(variable)}
+    return check({**raw, **named}, _file(operator, "--operator", tomllib.loads) if operator else {})
+
+
+def _file(path: str, named_by: str, parse: Callable[[str], object]) -> Table:
     try:
-        raw = json.loads(Path(path).read_bytes())
+        raw = parse(Path(path).read_text("utf-8"))
     except OSError as fault:
-        raise ConfigError(f"PROXY_CONFIG: {path}: {fault.strerror}") from fault
+        raise ConfigError(f"{named_by}: {path}: {fault.strerror}") from fault
     except ValueError as fault:
-        raise ConfigError(f"PROXY_CONFIG: {path} is not JSON: {fault}") from fault
+        raise ConfigError(f"{named_by}: {path} can't be read: {fault}") from fault
     if not isinstance(raw, dict):
-        raise ConfigError(f"PROXY_CONFIG: {path} does not hold a table")
-    named = {key: environ[variable] for key, variable in VARIABLES.items() if environ.get(variable)}
-    return check({**raw, **named})
-
-
-VARIABLES = {"name": "PROXY_NAME", "listen": "PROXY_LISTEN"}
+        raise ConfigError(f"{named_by}: {path} does not hold a table")
+    return raw
 
 
-def check(raw: Table) -> Config:
+def check(raw: Table, operator: Table | None = None) -> Config:
     limits = table(raw, "limits", "limits", {})
-    settings = table(raw, "settings", "settings")
+    told = table(raw, "settings", "settings")
+    settings = _settings(told)
     return Config(
         name=word(raw, "name", "name"),
         listen=address(raw, "listen", "listen"),
@@ -74,11 +96,73 @@
         seed=_seed(raw.get("seed", "0")),
         stop=whole(raw, "stop_ms", "stop_ms", 1, 600_000, 3_000) * MILLISECOND,
         sockets=whole(limits, "sockets", "limits.sockets", 64, 1 << 20, 1024),
-        settings=_settings(settings),
-        gauges=_gauges(settings),
+        settings=settings,
+        gauges=_gauges(told),
+        uwsgi=_uwsgi(operator or {}, {kind.name for kind in settings.classes}),
     )
 
 
+def _uwsgi(operator: Table, kinds: set[str]) -> UwsgiConfig | None:
+    if "uwsgi" not in operator:
+        return None
+    raw = table(operator, "uwsgi", "uwsgi")
+    _known(raw, "uwsgi", UWSGI_KEYS)
+    names = table(raw, "vars", "uwsgi.vars")
+    _known(names, "uwsgi.vars", ("class", "id", "retry", "cost", "tenant"))
+    classes = table(raw, "classes", "uwsgi.classes", {})
+
+    def kind(holder: Table, key: str, path: str) -> str:
+        name = word(holder, key, path)
+        if name not in kinds:
+            raise ConfigError(f"{path} must be one of {', '.join(sorted(kinds))}")
+        return name
+
+    def named(key: str) -> str | None:
+        return word(names, key, f"uwsgi.vars.{key}") if key in names else None
+
+    return UwsgiConfig(
+        listen=address(raw, "listen", "uwsgi.listen"),
+        upstream=address(raw, "upstream", "uwsgi.upstream"),
+        mapped=Mapped(
+            kind=word(names, "class", "uwsgi.vars.class"),
+            classes={said: kind(classes, said, f"uwsgi.classes.{said}") for said in classes},
+            default_class=word(raw, "default_class", "uwsgi.default_class")
+            if "default_class" in raw
+            else None,
+            id=named("id"),
+            retry=named("retry"),
+            cost=named("cost"),
+            tenant=named("tenant"),
+            kb=number(raw, "held_kb", "uwsgi.held_kb", 0.1, 2000, 16.0),
+        ),
+        body_limit=whole(raw, "max_body", "uwsgi.max_body", 0, 1 << 20, 64 * 1024),
+        response_limit=whole(raw, "max_response", "uwsgi.max_response", 256, 1 << 22, 256 * 1024),
+        connections=whole(raw, "max_connections", "uwsgi.max_connections", 1, 1 << 16, 256),
+        read_timeout=whole(raw, "read_timeout_ms", "uwsgi.read_timeout_ms", 10, 600_000, 10_000)
+        * MILLISECOND,
+    )
+
+
+UWSGI_KEYS = (
+    "listen",
+    "upstream",
+    "vars",
+    "classes",
+    "default_class",
+    "held_kb",
+    "max_body",
+    "max_response",
+    "max_connections",
+    "read_timeout_ms",
+)
+
+
+def _known(raw: Table, path: str, keys: tuple[str, ...]) -> None:
+    for key in raw:
+        if key not in keys:
+            raise ConfigError(f"{path}.{key} is not known")
+
+
 def _settings(raw: Table) -> Settings:
     try:
         return read_settings(raw)
--- a/marlstep/core/engine.py
+++ b/marlstep/core/engine.py
@@ -60,6 +60,10 @@
     """The request was not taken; nothing ran. The text says why."""
 
 
+class Repeated(Refused):
+    """A repeat of work that ran, or may have: it fails, and must not come again."""
+
+
 @dataclass(slots=True)
 class Ports:
     gauges: Gauges
@@ -75,7 +79,6 @@
         self.counts: Counter[str] = Counter()
         self.stops_at: datetime | None = None
         self.on_grace_over: Callable[[], None] = lambda: None
-        self.on_empty: Callable[[], None] = lambda: None
         self._ports = ports
         self._timeline = timeline
         self._controller = Controller(settings, seed)
@@ -118,12 +121,12 @@
         if kind is None:
             raise Refused(f"unknown class {offer.kind[:64]!r}")
         if offer.id in self._by_id:
-            raise Refused("an id that is in hand already")
+            raise Repeated("an id that is in hand already")
         now = self._timeline.now()
         key = (offer.kind, offer.once) if offer.once and kind.effect is not Effect.SAFE else None
         prior = self._keys.find(key, now) if key else None
         if prior and kind.effect is Effect.UNSAFE:
-            raise Refused("a repeat of work that must not run twice")
+            raise Repeated("a repeat of work that must not run twice")
         due = max(now, offer.arrived + span(kind.deadline_us))
         request = Request(offer, kind, front, ticket, backend, due)
         try:
@@ -170,6 +173,7 @@
             return
         if outcome is Outcome.CANCELLED and request.halting and not request.answered:
             request.halting = False
+            request.worked = True
             dropped = self.settings.halt is HaltMode.DROP
             request.stage = Stage.HELD if dropped else Stage.PAUSED
         else:
@@ -184,14 +188,16 @@
     def _answer_for(self, request: Request, outcome: Outcome, result: bytes) -> Answer:
         if outcome is Outcome.OK:
             return Answer(Verdict.DONE, result)
-        if outcome.never_ran and not request.faulty:
+        if outcome.never_ran and not request.worked:
+            if request.offer.once:  # the work may come again
+                self._keys.drop((request.offer.kind, request.offer.once), request.id, kept_too=True)
             return Answer(Verdict.REFUSED, after=self._come_back())
         return Answer(Verdict.FAILED)
 
     def call_needed(self, id: str, body: bytes) -> None:
         request = self._find(id)
         if request is not None:
-            request.stage, request.call_body = Stage.AT_CALL, body
+            request.stage, request.call_body, request.worked = Stage.AT_CALL, body, True
             request.halting = False  # it came to the call before the halt reached it
             self._post(CallNeeded(id))
 
@@ -232,17 +238,12 @@
         for front in self._fronts:
             front.stop_accepting()
         self.on_grace_over()
-        self._tell_if_empty()
 
     def _last_call(self) -> None:
         """The module answers well before this; it is what stands behind it."""
         for request in self._requests:
             self._give_up(request)
 
-    def _tell_if_empty(self) -> None:
-        if self.draining and not self._unanswered:
-            self.on_empty()
-
     # Turns of the module.
 
     def _post(self, event: Event) -> None:
@@ -430,7 +431,6 @@
             request.stage = Stage.OVER
             self._pass_on(request, Outcome.ERROR, b"")
         self._release_if_over(request)
-        self._tell_if_empty()
 
     def _release_if_over(self, request: Request) -> None:
         """The one place where a request's slot is given back: answered, and its run over."""
--- a/marlstep/core/model.py
+++ b/marlstep/core/model.py
@@ -117,6 +117,7 @@
     handle: int = 0
     stage: Stage = Stage.HELD
     started: bool = False  # a run has begun, or may have
+    worked: bool = False  # a run is known to have begun
     halting: bool = False  # told to stop, and not yet known to have stopped
     faulty: bool = False  # its last attempt or call went wrong
     answered: bool = False
--- a/marlstep/fronts/base.py
+++ b/marlstep/fronts/base.py
@@ -79,6 +79,7 @@
         self.connections: SlotTable[Connection] = SlotTable(limit)
         self.idle_after = idle_after
         self.leaving = False
+        self.port = 0  # where 0 was asked for, the one the system gave
         self._server: asyncio.Server | None = None
 
     def make(self) -> Connection:
@@ -88,11 +89,7 @@
         host, port = address
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self.make, host, port, backlog=512, reuse_address=True)
-
-    @property
-    def port(self) -> int:
-        """The port that is listened on; where 0 was asked for, the one the system gave."""
-        return int(self._server.sockets[0].getsockname()[1]) if self._server else 0
+        self.port = int(self._server.sockets[0].getsockname()[1])
 
     def deliver(self, ticket: Ticket, answer: Answer) -> None:
         handle, number = ticket
--- /dev/null
+++ b/marlstep/fronts/uwsgi.py
@@ -0,0 +1,154 @@
+"""The front for the uwsgi protocol: one packet a connection, one HTTP-style response, then the close.
+
+Done is the upstream's own response, unchanged. Refused is 503 with Retry-After, failed 502, out of time 504.
+A packet that can't be read, or names no class there is, is answered 400; one whose body is too large 413.
+"""
+
+from __future__ import annotations
+
+import logging
+from datetime import timedelta
+
+from marlstep.core.engine import Core, Refused, Repeated
+from marlstep.core.model import Answer, Backend, Offer, Verdict
+from marlstep.fronts.base import Connection, Listener
+from marlstep.fronts.mapped import Mapped
+from marlstep.fronts.uwsgi_wire import BadPacket, Packet, PacketReader, write_response
+from marlstep.timeline import Timeline
+from marlstep.units import MILLISECOND, SECOND
+
+log = logging.getLogger(__name__)
+
+RING_SIZE = 16 * 1024
+LONGEST_COST = 3_600_000.0  # ms
+
+
+def read_cost(text: str | None) -> timedelta | None:
+    """A hint: one that is no number of milliseconds is as good as none."""
+    try:
+        value = float(text or "")
+    except ValueError:
+        return None
+    return value * MILLISECOND if 0 <= value <= LONGEST_COST else None
+
+
+class UwsgiConnection(Connection):
+    front: UwsgiFront  # type: ignore[assignment]
+
+    def __init__(self, front: UwsgiFront) -> None:
+        super().__init__(front, RING_SIZE)  # type: ignore[arg-type]
+        self._packet = PacketReader(front.body_limit)
+        self._request: int | None = None
+        self._taken = False  # its one packet is whole, or can't become so
+
+    def received(self) -> None:
+        if not self._taken:
+            try:
+                packet = self._packet.next(self.inbox)
+                if packet is not None:
+                    self._taken = True
+                    self._submit(packet)
+                elif self.at_end:
+                    self.finish()  # the client left inside its packet: there is no request to answer
+            except BadPacket as fault:
+                self._reject(fault.status, str(fault))
+        if self._taken:
+            self.inbox.skip(self.inbox.used)  # a connection carries one request
+
+    def _submit(self, packet: Packet) -> None:
+        front = self.front
+        try:
+            offer = front.read_offer(packet)
+            self._request = front.core.submit(front, (self.handle, 1), front.backend, offer)
+        except Repeated as fault:
+            self._reject(502, str(fault))
+        except Refused as fault:
+            self._reject(400, str(fault))
+
+    def _reject(self, status: int, why: str) -> None:
+        log.warning("uwsgi request answered %d: %s", status, why)
+        self._taken = True
+        self._respond(write_response(status, {}, why))
+
+    def _respond(self, response: bytes) -> None:
+        self.send(response)
+        self.finish()
+
+    def answer(self, number: int, answer: Answer) -> None:
+        self._request = None
+        match answer.verdict:
+            case Verdict.DONE:
+                self._respond(answer.body)
+            case Verdict.REFUSED:
+                wait = str(self.front.whole_seconds(answer.after))
+                self._respond(write_response(503, {"Retry-After": wait}, "refused, it never ran"))
+            case Verdict.EXPIRED:
+                self._respond(write_response(504, {}, "out of time"))
+            case Verdict.FAILED:
+                self._respond(write_response(502, {}, "failed"))
+
+    def gone(self) -> None:
+        if self._request is not None:
+            self.front.core.client_gone(self._request)
+            self._request = None
+
+    def idle(self) -> None:
+        if self._request is None:
+            self.finish()
+
+    def leave(self) -> None:
+        """What was begun may still be sent whole, and is then answered."""
+        if self._request is None and not self._packet.inside:
+            self.finish()
+
+
+class UwsgiFront(Listener[UwsgiConnection]):
+    def __init__(
+        self,
+        core: Core,
+        timeline: Timeline,
+        backend: Backend,
+        limit: int,
+        idle_after: timedelta,
+        mapped: Mapped,
+        body_limit: int,
+    ) -> None:
+        super().__init__(core, timeline, limit, idle_after)
+        self.backend = backend
+        self.mapped = mapped
+        self.body_limit = body_limit
+        self._number = 0
+
+    def make(self) -> UwsgiConnection:
+        return UwsgiConnection(self)
+
+    def limit_idle(self, after: timedelta) -> None:
+        """Clients here open a connection for each request: the operator's own limit stays."""
+
+    def read_offer(self, packet: Packet) -> Offer:
+        mapped, variables = self.mapped, packet.variables
+        said = variables.get(mapped.kind, "")
+        kind = mapped.classes.get(said, said) or mapped.default_class or ""
+        if kind not in self.core.kinds and mapped.default_class:
+            kind = mapped.default_class
+        self._number += 1
+        return Offer(
+            id=f"uwsgi-{self._number}",  # of this try; what the client names is the work
+            kind=kind,
+            body=packet.raw,
+            arrived=self.timeline.now(),
+            kb=max(mapped.kb, len(packet.raw) / 1024),
+            retry=_flag(variables.get(mapped.retry or "", "")),
+            cost=read_cost(variables.get(mapped.cost or "")),
+            tenant=variables.get(mapped.tenant or "") or None,
+            once=variables.get(mapped.id or "") or None,
+        )
+
+    def whole_seconds(self, after: timedelta) -> int:
+        """Retry-After counts whole seconds: rounded up, within the longest that is allowed."""
+        most = timedelta(microseconds=self.core.settings.max_retry_after_us)
+        return min(-(-after // SECOND), most // SECOND)
+
+
+def _flag(text: str) -> bool:
+    return text.lower() not in ("", "0", "no", "false", "off")
--- a/tests/node.py
+++ b/tests/node.py
@@ -7,13 +7,132 @@
 from datetime import datetime, timedelta
 from typing import Any, cast
 
+from marlstep.core.engine import Core, Ports
+from marlstep.core.model import Answer, Offer, Request, Ticket, Verdict
 from marlstep.stream import RingStream
 from marlstep.timeline import Timeline
 from marlstep.units import EPOCH, MILLISECOND, SECOND
+from petrelcart.benchlink import read_settings
+from petrelcart.interface import Outcome
 
 START = EPOCH + 1_800_000_000 * SECOND
 
 
+SETTINGS: dict[str, Any] = {
+    "callers": {"marksRetry": True},
+    "caps": {"maxRetryAfterUs": 1_000_000, "retryAfter": True},
+    "classes": [
+        {"name": "temp-history", "aimUs": 2_600_000, "hardLimitUs": 8_600_000, "worth": 1.0},
+        {"name": "schedule-save", "aimUs": 1_600_000, "hardLimitUs": 5_400_000, "worth": 1.0},
+        {"name": "setpoint-cmd", "aimUs": 1_700_000, "hardLimitUs": 4_300_000, "worth": 3.0},
+    ],
+    "familyInfo": {
+        "below": "tier",
+        "callsByClass": [True, False, True],
+        "cpus": 2,
+        "degradedWorth": [0.6, 0.0, 0.0],
+        "halt": "suspend",
+        "heededUs": 1_000_000,
+        "keepaliveMaxUs": 15_000_000,
+        "ownStats": ["cpu_busy", "runnable", "mem_used", "sockets"],
+        "ramKb": 15_492.0,
+        "runMemFactor": 16.0,
+        "say": "window",
+        "upstreams": 3,
+    },
+    "resolutionUs": 2000,
+    "rules": {"answerSlackUs": 60_000, "drainGraceUs": 2_500_000, "fallMultiple": 5.0, "fallUs": 3_000_000},
+}
+for _row, _semantics in zip(SETTINGS["classes"], ("idempotent", "idempotent", "at_most_once"), strict=True):
+    _row.update(semantics=_semantics, repeatWindowUs=5_000_000, lateShare=0.0)
+
+
+def raw_config(**other: Any) -> dict[str, Any]:
+    return {
+        "name": "n1",
+        "listen": "127.0.0.1:0",
+        "kernel": "127.0.0.1:1",
+        "seed": "8c1f30d27a5be964",
+        "stop_ms": 3200,
+        "settings": SETTINGS,
+        **other,
+    }
+
+
+class Recorder:
+    """A backend that writes down what it is told to do."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[str, str]] = []
+
+    def start(self, request: Request) -> None:
+        self.told.append(("start", request.id))
+
+    def pause(self, request: Request) -> None:
+        self.told.append(("pause", request.id))
+
+    def resume(self, request: Request) -> None:
+        self.told.append(("resume", request.id))
+
+    def supply(self, request: Request, reply: bytes) -> None:
+        self.told.append((f"supply {reply.decode()}", request.id))
+
+    def skip(self, request: Request) -> None:
+        self.told.append(("skip", request.id))
+
+    def abandon(self, request: Request) -> None:
+        self.told.append(("abandon", request.id))
+
+    def ask(self) -> None:
+        pass
+
+    # As a store.
+
+    def call(self, request: Request, until: datetime) -> None:
+        self.told.append((f"call {request.call_body.decode()}", request.id))
+
+    def give_up(self, request: Request) -> None:
+        self.told.append(("give up", request.id))
+
+
+class Desk:
+    """A front that keeps the answers; `submit` hands in requests."""
+
+    def __init__(self, cores: int = 2, **other: Any) -> None:
+        self.clock = HandClock()
+        self.backend = Recorder()
+        info = {**SETTINGS["familyInfo"], "cpus": cores}
+        settings = read_settings({**SETTINGS, "familyInfo": info, **other})
+        self.core = Core(settings, 1, self.clock.timeline, Ports(self.backend, self.backend))
+        self.core.add_front(self)
+        self.core.start()
+        self.answers: dict[int, list[Answer]] = {}
+        self.stopped = False
+
+    def submit(self, number: int, kind: str = "temp-history", late_ms: float = 0, **other: Any) -> int:
+        arrived = self.clock.now() - late_ms * MILLISECOND
+        offer = Offer(f"r{number}", kind, b"body", arrived, **{"kb": 10.0, **other})
+        handle = self.core.submit(self, (0, number), self.backend, offer)
+        self.clock.settle()
+        return handle
+
+    def end(self, number: int, outcome: Outcome = Outcome.OK, result: bytes = b"result") -> None:
+        self.core.run_ended(f"r{number}", outcome, MILLISECOND, result)
+        self.clock.settle()
+
+    def verdicts(self, number: int) -> list[Verdict]:
+        return [answer.verdict for answer in self.answers.get(number, [])]
+
+    def deliver(self, ticket: Ticket, answer: Answer) -> None:
+        self.answers.setdefault(ticket[1], []).append(answer)
+
+    def limit_idle(self, after: timedelta) -> None:
+        pass
+
+    def stop_accepting(self) -> None:
+        self.stopped = True
+
+
 class HandClock:
     """A waker whose time passes only in `advance`."""
 
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,173 @@
+"""The core without a wire: one answer each, nothing twice, repeats, the drain, and late surprises."""
+
+from typing import Any
+
+import pytest
+
+from marlstep.core.engine import Refused, Repeated
+from marlstep.core.model import Verdict
+from marlstep.units import SECOND
+from petrelcart.interface import Outcome
+from tests.node import SETTINGS, Desk
+
+
+def test_a_request_runs_and_its_result_is_the_answer() -> None:
+    desk = Desk()
+    desk.submit(1)
+    assert desk.backend.told == [("start", "r1")]
+    desk.end(1)
+    assert [(a.verdict, a.body) for a in desk.answers[1]] == [(Verdict.DONE, b"result")]
+    assert desk.core.in_hand == 0
+
+
+def test_a_higher_class_pauses_a_lower_run_and_it_resumes() -> None:
+    desk = Desk(cores=1)
+    desk.submit(1)
+    desk.submit(2, "setpoint-cmd")
+    assert desk.backend.told == [("start", "r1"), ("pause", "r1"), ("start", "r2")]
+    desk.end(1, Outcome.CANCELLED)
+    desk.end(2)
+    assert desk.backend.told[3:] == [("resume", "r1")]
+    assert not desk.answers.get(1)
+
+
+def test_a_call_goes_out_and_its_reply_comes_back() -> None:
+    desk = Desk()
+    desk.submit(1, "setpoint-cmd")
+    desk.core.call_needed("r1", b"ask")
+    desk.clock.settle()
+    desk.core.call_ended("r1", Outcome.OK, b"told")
+    desk.clock.settle()
+    assert desk.backend.told == [("start", "r1"), ("call ask", "r1"), ("supply told", "r1")]
+
+
+def test_a_call_that_may_have_run_fails_a_setpoint_and_is_not_made_again() -> None:
+    desk = Desk()
+    desk.submit(1, "setpoint-cmd")
+    desk.core.call_needed("r1", b"ask")
+    desk.clock.settle()
+    desk.core.call_ended("r1", Outcome.RESET)
+    desk.clock.advance(500)
+    assert desk.verdicts(1) == [Verdict.FAILED]
+    assert [what for what, _ in desk.backend.told].count("call ask") == 1
+
+
+def test_a_request_without_hope_is_answered_at_its_aim_not_at_its_deadline() -> None:
+    desk = Desk(cores=1)
+    for number in range(1, 4):
+        desk.submit(number, "setpoint-cmd")
+    desk.clock.advance(1800)
+    assert desk.verdicts(1) == [Verdict.EXPIRED]
+    assert desk.verdicts(3) == [Verdict.REFUSED]
+    assert 0 * SECOND < desk.answers[3][0].after <= SECOND
+
+
+def test_an_end_after_the_answer_gives_no_second_one() -> None:
+    desk = Desk(cores=1)
+    desk.submit(1, "setpoint-cmd")
+    desk.clock.advance(1800)
+    desk.end(1)
+    assert desk.verdicts(1) == [Verdict.EXPIRED]
+    assert desk.core.in_hand == 0
+
+
+def test_a_run_that_never_began_is_refused_but_one_that_had_is_failed() -> None:
+    # Guards against taking "nothing was started" of a resume for proof that the request never ran.
+    desk = Desk(cores=1)
+    desk.submit(1, "setpoint-cmd")
+    desk.end(1, Outcome.MOOT)
+    assert desk.verdicts(1) == [Verdict.REFUSED]
+    desk.submit(2)
+    desk.submit(3, "setpoint-cmd")
+    desk.end(2, Outcome.CANCELLED)
+    desk.end(3)
+    desk.end(2, Outcome.MOOT)
+    assert desk.verdicts(2) == [Verdict.FAILED]
+
+
+def test_a_setpoint_named_again_does_not_run_again_unless_it_never_ran() -> None:
+    desk = Desk()
+    desk.submit(1, "setpoint-cmd", once="boiler-7")
+    with pytest.raises(Repeated):
+        desk.submit(2, "setpoint-cmd", once="boiler-7")
+    desk.end(1, Outcome.CONNECT_FAILED)
+    desk.submit(3, "setpoint-cmd", once="boiler-7")
+    desk.end(3, Outcome.RESET)
+    with pytest.raises(Repeated):
+        desk.submit(4, "setpoint-cmd", once="boiler-7")
+    assert [id for what, id in desk.backend.told if what == "start"] == ["r1", "r3"]
+    assert (desk.verdicts(1), desk.verdicts(3)) == ([Verdict.REFUSED], [Verdict.FAILED])
+
+
+KEYED: dict[str, Any] = {
+    "classes": [
+        *SETTINGS["classes"][:2],
+        {
+            "name": "keyed",
+            "aimUs": 2_000_000,
+            "hardLimitUs": 4_000_000,
+            "worth": 1.0,
+            "semantics": "deduplicated",
+            "repeatWindowUs": 5_000_000,
+        },
+    ]
+}
+
+
+def test_a_repeat_of_keyed_work_shares_its_result() -> None:
+    desk = Desk(**KEYED)
+
+    desk.submit(1, "keyed", once="k")
+    desk.submit(2, "keyed", once="k")
+    assert desk.verdicts(2) == []
+    desk.end(1)
+    desk.submit(3, "keyed", once="k")
+    assert [desk.answers[number][0].body for number in (1, 2, 3)] == [b"result"] * 3
+    assert [what for what, _ in desk.backend.told] == ["start"]
+    desk.clock.advance(6000)
+    desk.submit(4, "keyed", once="k")
+    assert desk.backend.told[-1] == ("start", "r4")
+
+
+def test_what_arrives_after_the_grace_is_refused_and_never_run() -> None:
+    desk = Desk()
+    desk.core.drain(desk.clock.now() + 3.2 * SECOND)
+    desk.clock.advance(2490)
+    desk.submit(1)
+    assert desk.backend.told == [("start", "r1")]
+    desk.clock.advance(20)
+    assert desk.stopped
+    desk.submit(2)
+    assert desk.verdicts(2) == [Verdict.REFUSED]
+    desk.clock.advance(600)
+    assert desk.verdicts(1) == [Verdict.EXPIRED]
+    assert desk.core.unanswered == 0
+
+
+def test_unknown_classes_and_ids_in_hand_are_not_taken() -> None:
+    desk = Desk()
+    with pytest.raises(Refused):
+        desk.submit(1, "no-such")
+    desk.submit(2)
+    with pytest.raises(Refused):
+        desk.submit(2)
+    assert desk.core.unanswered == 1
+
+
+def test_a_client_that_is_gone_is_owed_nothing_and_its_run_is_stopped() -> None:
+    desk = Desk()
+    handle = desk.submit(1)
+    desk.core.client_gone(handle)
+    desk.clock.settle()
+    assert desk.backend.told == [("start", "r1"), ("abandon", "r1"), ("pause", "r1")]
+    desk.end(1, Outcome.CANCELLED)
+    assert not desk.answers and desk.core.in_hand == 0
+
+
+def test_the_due_time_is_kept_even_if_the_module_were_silent(monkeypatch: pytest.MonkeyPatch) -> None:
+    desk = Desk(cores=1)
+    desk.submit(1)
+    monkeypatch.setattr(desk.core._controller, "decide", lambda now, events: [])
+    desk.submit(2)
+    desk.clock.advance(8700)
+    assert (desk.verdicts(1), desk.verdicts(2)) == ([Verdict.EXPIRED], [Verdict.REFUSED])
--- /dev/null
+++ b/tests/test_loopback.py
@@ -0,0 +1,174 @@
+"""The whole node on loopback sockets between small stand-ins: both fronts lose the same requests, none."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any
+
+import pytest
+
+from marlstep.__main__ import Node
+from marlstep.config import check
+from marlstep.eventloop import LoopWaker
+from marlstep.fronts.resp_wire import write_frame
+from marlstep.fronts.uwsgi_wire import write_packet
+from marlstep.timeline import Timeline
+from marlstep.units import SECOND, ZERO, instant_us
+from tests.node import raw_config
+from tests.stand_ins import DatabaseStandIn, KernelStandIn, UwsgiStandIn
+
+VARS = {"class": "X_CLASS", "id": "X_ID"}
+
+
+class ShiftedWaker(LoopWaker):
+    """The loop's own clock, which a test can push on."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.shift, system = ZERO, self.now
+        self.now = lambda: system() + self.shift
+
+
+class Site:
+    def __init__(self, cut_at: tuple[int, ...] = ()) -> None:
+        self.kernel, self.database, self.uwsgi = KernelStandIn(cut_at), DatabaseStandIn(), UwsgiStandIn()
+
+    async def __aenter__(self) -> Site:
+        for stand_in in (self.kernel, self.database, self.uwsgi):
+            await stand_in.start()
+        raw = raw_config(kernel=self.kernel.address, db=self.database.address)
+        second = {"listen": "127.0.0.1:0", "upstream": self.uwsgi.address, "vars": VARS, "max_response": 4096}
+        self.waker = ShiftedWaker(asyncio.get_running_loop())
+        self.timeline = Timeline(self.waker)
+        self.node = Node(check(raw, {"uwsgi": second}), self.timeline)
+        await self.node.open()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.node.resp.stop_accepting()
+        assert self.node.uwsgi is not None
+        self.node.uwsgi.stop_accepting()
+        self.node.close()
+        for stand_in in (self.kernel, self.database, self.uwsgi):
+            stand_in.stop()
+
+    def push(self, by: timedelta) -> None:
+        self.waker.shift += by
+        self.timeline.run_due()
+
+    async def over_uwsgi(self, kind: str, id: str, path: str = "/") -> bytes:
+        assert self.node.uwsgi is not None
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.node.uwsgi.port)
+        writer.write(write_packet({"X_CLASS": kind, "X_ID": id, "PATH_INFO": path}))
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    async def over_resp(self, kind: str, number: int, body: bytes = b"body") -> bytes:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.node.resp.port)
+        at = instant_us(self.timeline.now()) // 1000
+        writer.write(write_frame(b"EXEC", b"1", kind.encode(), b"id=%016x,at=%d,kb=1" % (number, at), body))
+        answer = b""
+        while not answer.startswith(b"*4\r\n") or answer.count(b"\r\n") < 9:
+            data = await reader.read(4096)
+            if not data:
+                break
+            answer += data
+        writer.close()
+        return answer
+
+
+def on(test: Callable[[Site], Awaitable[Any]], cut_at: tuple[int, ...] = ()) -> None:
+    async def run() -> None:
+        async with asyncio.timeout(20), Site(cut_at) as site:
+            await test(site)
+
+    asyncio.run(run())
+
+
+def test_both_fronts_lose_the_same_requests_none() -> None:
+    kinds = ("temp-history", "schedule-save", "setpoint-cmd")
+
+    async def run(site: Site) -> None:
+        answers = await asyncio.gather(
+            *(site.over_uwsgi(kinds[number % 3], f"u{number}") for number in range(30)),
+            *(site.over_resp(kinds[number % 3], number) for number in range(1, 31)),
+        )
+        lost = [[answer for answer in part if b"done" not in answer] for part in (answers[:30], answers[30:])]
+        assert lost == [[], []]
+        assert set(site.uwsgi.runs.values()) | set(site.kernel.runs.values()) == {1}
+        assert site.node.core.in_hand == 0
+
+    on(run)
+
+
+def test_a_kernel_link_that_breaks_loses_nothing_and_runs_nothing_twice() -> None:
+    # Guards against commands lost with a link, notices applied twice, and a resumed link that starts from 0.
+    async def run(site: Site) -> None:
+        for number in range(1, 7):
+            answer = await site.over_resp("setpoint-cmd", number, b"call" if number % 2 else b"body")
+            assert answer.endswith(b"$4\r\nrows\r\n" if number % 2 else b"$4\r\ndone\r\n")
+        assert set(site.kernel.runs.values()) == {1} and set(site.database.runs.values()) == {1}
+        assert len(site.kernel.opened) == 4 and site.kernel.opened[-1] > 0
+
+    on(run, cut_at=(1, 2, 4))
+
+
+@pytest.mark.parametrize(
+    ("path", "status"),
+    [
+        ("/", b"200"),
+        ("/unsized", b"200"),
+        ("/die", b"502"),
+        ("/half", b"502"),
+        ("/endless", b"502"),
+        ("/garbage", b"502"),
+    ],
+)
+def test_what_the_upstream_does_to_a_setpoint_is_told_and_never_sent_again(path: str, status: bytes) -> None:
+    async def run(site: Site) -> None:
+        answers = [await site.over_uwsgi("setpoint-cmd", "b7", path) for _ in range(2)]
+        assert [answer.split(b" ", 2)[1] for answer in answers] == [status, b"502"]
+        assert site.uwsgi.runs == {"b7": 1}
+
+    on(run)
+
+
+def test_a_refused_connection_is_503_and_the_work_may_come_again() -> None:
+    async def run(site: Site) -> None:
+        site.uwsgi.stop()
+        for _ in range(2):
+            answer = await site.over_uwsgi("setpoint-cmd", "b7")
+            assert answer.startswith(b"HTTP/1.1 503 ") and b"Retry-After: 1\r\n" in answer
+
+    on(run)
+
+
+def test_a_deadline_in_a_run_is_504_and_the_upstream_is_let_go() -> None:
+    async def run(site: Site) -> None:
+        waiting = asyncio.ensure_future(site.over_uwsgi("setpoint-cmd", "b7", "/hang"))
+        await site.uwsgi.reached.wait()
+        site.push(1.8 * SECOND)
+        assert (await waiting).startswith(b"HTTP/1.1 504 ")
+        while site.node.core.in_hand:
+            await asyncio.sleep(0)
+
+    on(run)
+
+
+def test_the_notice_to_leave_ends_the_node_with_all_answered() -> None:
+    async def run(site: Site) -> None:
+        waiting = asyncio.ensure_future(site.over_uwsgi("temp-history", "h1", "/hang"))
+        await site.uwsgi.reached.wait()
+        site.node.leave()
+        assert b"\r\ndone\r\n" in await site.over_resp("schedule-save", 1)
+        site.push(2.51 * SECOND)
+        site.push(0.6 * SECOND)
+        assert (await waiting).startswith(b"HTTP/1.1 504 ")
+        await site.node.ended.wait()
+        with pytest.raises(OSError):
+            await site.over_resp("schedule-save", 2)
+
+    on(run)
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,186 @@
+"""Every parser against valid messages cut at random and against garbage, from fixed seeds."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marlstep import db, kernel
+from marlstep.fronts.resp import Tags, read_offer
+from marlstep.fronts.resp_wire import FrameReader, Malformed, read_fields, write_fields, write_frame
+from marlstep.fronts.uwsgi import read_cost
+from marlstep.fronts.uwsgi_wire import BadPacket, PacketReader, read_variables, write_packet
+from marlstep.ring import LineTooLong, Ring
+from petrelcart.interface import Outcome
+from tests.node import HandClock, Notes, Wire
+from tests.test_resp import Platform, exec_frame
+from tests.test_uwsgi import Gateway
+
+FIXED = settings(derandomize=True, max_examples=150, deadline=None, database=None)
+CUTS = st.lists(st.integers(1, 60), min_size=1, max_size=20)
+
+
+def pieces(data: bytes, cuts: list[int]) -> list[bytes]:
+    parts: list[bytes] = []
+    at = 0
+    while at < len(data):
+        size = cuts[len(parts) % len(cuts)]
+        parts.append(data[at : at + size])
+        at += size
+    return parts
+
+
+def read_all(next_one: Callable[[Ring], Any], parts: list[bytes], size: int = 4096) -> list[Any]:
+    ring, found = Ring(size), []
+    for part in parts:
+        assert ring.put(part) == len(part)
+        while (one := next_one(ring)) is not None:
+            found.append(one)
+    return found
+
+
+WORDS = st.tuples(
+    st.sampled_from([b"EXEC", b"ALIVE"]),
+    st.integers(1, 10**9).map(lambda tag: b"%d" % tag),
+    st.binary(max_size=20),
+    st.binary(max_size=100),
+    st.binary(max_size=300),
+)
+
+
+@FIXED
+@given(st.lists(WORDS, max_size=6), CUTS)
+def test_resp_frames_come_whole_however_they_are_cut(
+    frames: list[tuple[bytes, ...]], cuts: list[int]
+) -> None:
+    stream = b"".join(write_frame(*words) for words in frames)
+    assert read_all(FrameReader().next, pieces(stream, cuts)) == [list(words) for words in frames]
+
+
+@FIXED
+@given(
+    st.dictionaries(st.text("abcKEY_-"), st.text("abc\xe9 "), min_size=1, max_size=5),
+    st.binary(max_size=50),
+    CUTS,
+)
+def test_uwsgi_packets_come_whole_however_they_are_cut(
+    variables: dict[str, str], body: bytes, cuts: list[int]
+) -> None:
+    packet = write_packet({**variables, "CONTENT_LENGTH": str(len(body))}, body)
+    found, again = read_all(PacketReader(50).next, pieces(packet * 2, cuts))
+    assert found == again and found.raw == packet
+    assert found.variables == {**variables, "CONTENT_LENGTH": str(len(body))}
+
+
+NOTICES = (
+    b"BOOTED hot 1.5\r\nDMESG 1 hello there\r\nREAP 2 a complete 25.3 4\r\n\r\n\r\n\r\n"
+    b"IOREQ 3 b 3\r\nask\r\nEINVAL PREEMPT c\r\nREAP 4 b error 0 0\r\n\r\nINFO sync 0.5 1 0.1 3\r\n"
+)
+REPLIES = b"a ROWS 4\r\n\r\n\r\n\r\nb FULL\r\nc TIMEOUT\r\nd FAIL\r\ne NONE\r\n"
+
+
+def kernel_link() -> tuple[Wire, Notes]:
+    clock, notes = HandClock(), Notes()
+    return Wire(kernel._Link(kernel.Kernel(("127.0.0.1", 1), ("cpu",), clock.timeline, lambda: notes))), notes
+
+
+def database_link() -> tuple[Wire, Notes]:
+    clock, notes = HandClock(), Notes()
+    database = db.Database(("127.0.0.1", 1), clock.timeline, lambda: notes)
+    for id in "abcde":
+        database._calls[id] = clock.timeline.at(clock.now(), lambda: None)
+    return Wire(db._Link(database)), notes
+
+
+@FIXED
+@given(CUTS)
+def test_the_links_read_the_same_however_it_is_cut(cuts: list[int]) -> None:
+    (cores, told), (below, called) = kernel_link(), database_link()
+    for part in pieces(NOTICES, cuts):
+        cores.feed(part)
+    for part in pieces(REPLIES, cuts):
+        below.feed(part)
+    assert [(what, id) for what, id, *_ in told.told] == [
+        ("ended", "a"),
+        ("needs", "b"),
+        ("ended", "b"),
+        ("gauges", {"cpu": 0.5}),
+    ]
+    assert [(id, outcome) for _, id, outcome, _ in called.told] == [
+        ("a", Outcome.OK),
+        ("b", Outcome.FULL),
+        ("c", Outcome.TIMEOUT),
+        ("d", Outcome.ERROR),
+        ("e", Outcome.MOOT),
+    ]
+    assert not cores.closed and not below.closed
+
+
+SPICE = st.sampled_from(
+    [b"*5\r\n", b"$4\r\n", b"EXEC\r\n", b"\r\n", b"REAP 1 a ", b"ROWS ", b"INFO x ", b"\0\4\0\0"]
+)
+GARBAGE = st.lists(SPICE | st.binary(max_size=40), max_size=12).map(b"".join)
+
+
+@FIXED
+@given(GARBAGE, CUTS)
+def test_garbage_ends_a_connection_at_the_most_and_no_other(garbage: bytes, cuts: list[int]) -> None:
+    platform, gateway = Platform(), Gateway()
+    good, bad, odd = platform.connect(), platform.connect(), gateway.connect()
+    platform.feed(good, exec_frame(1))
+    for part in pieces(garbage, cuts):
+        for wire in (bad, odd, kernel_link()[0], database_link()[0]):
+            wire.feed(part)
+    platform.desk.clock.settle()
+    platform.end(1)
+    assert b"done" in good.take()
+
+
+@FIXED
+@given(st.binary(max_size=200), st.text(max_size=20))
+def test_the_readers_of_parts_raise_what_their_callers_catch(data: bytes, text: str) -> None:
+    for read in (read_variables, read_fields, lambda word: read_offer(b"x", word, b"")):
+        with contextlib.suppress(BadPacket, ValueError, OverflowError):
+            read(data)
+    read_cost(text)
+    try:
+        read_all(FrameReader().next, [data])
+    except Malformed as fault:
+        assert fault.tag is None or fault.tag > 0
+
+
+@FIXED
+@given(st.dictionaries(st.text("abc", min_size=1), st.text("xyz.09")))
+def test_fields_come_back_as_written(fields: dict[str, str]) -> None:
+    assert read_fields(write_fields(fields)) == fields
+
+
+@FIXED
+@given(st.permutations(range(1, 30)))
+def test_each_tag_is_taken_once_in_any_order(order: list[int]) -> None:
+    tags = Tags()
+    assert all(tags.take(tag) for tag in order)
+    assert not any(tags.take(tag) for tag in order)
+
+
+@FIXED
+@given(st.lists(st.binary(max_size=9) | st.integers(0, 9), max_size=40))
+def test_a_ring_gives_back_what_was_put_in(steps: list[bytes | int]) -> None:
+    ring, model = Ring(16), b""
+    for step in steps:
+        if isinstance(step, bytes):
+            done = ring.put(step)
+            assert done == min(len(step), 16 - len(model))
+            model += step[:done]
+        else:
+            assert ring.take(step) == model[:step]
+            model = model[step:]
+        assert (ring.used, ring.peek(99)) == (len(model), model)
+    try:
+        assert ring.line(4) is None
+    except LineTooLong:
+        assert len(model) >= 6
