--- a/marlstep/__main__.py
+++ b/marlstep/__main__.py
@@ -10,6 +10,7 @@
 
 import uvloop
 
+from marlstep.admin import Admin
 from marlstep.config import Config, ConfigError, load
 from marlstep.core.engine import Core, Ports
 from marlstep.db import Database
@@ -65,6 +66,7 @@
                 second.body_limit,
             )
         self.resp = RespFront(self.core, timeline, self.kernel, room, idle)
+        self.admin = Admin(self.core, timeline, config.admin.token, self.leave) if config.admin else None
         self.fronts = [front for front in (self.resp, self.uwsgi) if front is not None]
         for front in self.fronts:
             self.core.add_front(front)
@@ -80,6 +82,9 @@
         if self.uwsgi is not None and self.config.uwsgi is not None:
             await self.uwsgi.listen(self.config.uwsgi.listen)
             log.info("uwsgi on %s:%d", *self.config.uwsgi.listen)
+        if self.admin is not None and self.config.admin is not None:
+            await self.admin.listen(self.config.admin.listen)
+            log.info("administration on %s:%d", *self.config.admin.listen)
         self.kernel.open()
         if self.naming is not None:
             await self.naming.open()
@@ -100,6 +105,8 @@
             self.timeline.at(now + END_WATCH, self._watch_end)
 
     def close(self) -> None:
+        if self.admin is not None:
+            self.admin.stop_accepting()
         log.info("ends with %d unanswered: %s", self.core.unanswered, dict(self.core.counts))
         self.kernel.close()
         if self.database is not None:
--- a/marlstep/config.py
+++ b/marlstep/config.py
@@ -10,14 +10,14 @@
 import os
 import tomllib
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from pathlib import Path
 
 from marlstep.fronts.mapped import Mapped
 from marlstep.units import MILLISECOND
 from petrelcart.benchlink import read_settings
-from petrelcart.interface import Settings
+from petrelcart.interface import Settings, TenantSettings
 
 Address = tuple[str, int]
 Table = Mapping[str, object]
@@ -41,6 +41,15 @@
     settings: Settings
     gauges: tuple[str, ...]  # names of the kernel's readings, in its order
     uwsgi: UwsgiConfig | None = None
+    admin: AdminConfig | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class AdminConfig:
+    """The administration API, from the operator's file."""
+
+    listen: Address
+    token: str
 
 
 @dataclass(slots=True, frozen=True)
@@ -84,9 +93,11 @@
 
 
 def check(raw: Table, operator: Table | None = None) -> Config:
+    operator = operator or {}
+    _known(operator, "", ("uwsgi", "admin", "tenants", "classes", "over_share_worth"))
     limits = table(raw, "limits", "limits", {})
     told = table(raw, "settings", "settings")
-    settings = _settings(told)
+    settings = _hosted(_settings(told), operator)
     return Config(
         name=word(raw, "name", "name"),
         listen=address(raw, "listen", "listen"),
@@ -98,10 +109,63 @@
         sockets=whole(limits, "sockets", "limits.sockets", 64, 1 << 20, 1024),
         settings=settings,
         gauges=_gauges(told),
-        uwsgi=_uwsgi(operator or {}, {kind.name for kind in settings.classes}),
+        uwsgi=_uwsgi(operator, {kind.name for kind in settings.classes}),
+        admin=_admin(operator),
     )
 
 
+def _hosted(settings: Settings, operator: Table) -> Settings:
+    """The settings with the operator's tenants and worths in the place of the platform's."""
+    if "over_share_worth" in operator:
+        worth = number(operator, "over_share_worth", "over_share_worth", 0, 1)
+        settings = replace(settings, over_share_worth=worth)
+    if "tenants" in operator:
+        rows = table(operator, "tenants", "tenants")
+        settings = replace(settings, tenants=tuple(_tenant(rows, name) for name in rows))
+        if sum(tenant.portion for tenant in settings.tenants) > 1.001:
+            raise ConfigError("tenants: their shares come to more than 1")
+    worths = table(operator, "classes", "classes", {})
+    names = {kind.name for kind in settings.classes}
+    for name in worths:
+        if name not in names:
+            raise ConfigError(f"classes.{name} must be one of {', '.join(sorted(names))}")
+        row = table(worths, name, f"classes.{name}")
+        _known(row, f"classes.{name}", ("worth",))
+        worth = number(row, "worth", f"classes.{name}.worth", 0, 1e6)
+        kinds = (replace(kind, worth=worth) if kind.name == name else kind for kind in settings.classes)
+        settings = replace(settings, classes=tuple(kinds))
+    return settings
+
+
+def _tenant(rows: Table, name: str) -> TenantSettings:
+    path = f"tenants.{name}"
+    row = table(rows, name, path)
+    _known(row, path, ("share", "allowance_per_s"))
+    share = number(row, "share", f"{path}.share", 0, 1)
+    return TenantSettings(name, share, number(row, "allowance_per_s", f"{path}.allowance_per_s", 0, 1e6))
+
+
+def _admin(operator: Table) -> AdminConfig | None:
+    if "admin" not in operator:
+        return None
+    raw = table(operator, "admin", "admin")
+    _known(raw, "admin", ("listen", "token_file"))
+    listen = address(raw, "listen", "admin.listen")
+    if not ipaddress.ip_address(listen[0]).is_loopback:
+        raise ConfigError("admin.listen must be a loopback address")
+    path = word(raw, "token_file", "admin.token_file")
+    try:
+        token = Path(path).read_text("utf-8").strip()
+    except (OSError, UnicodeDecodeError) as fault:
+        raise ConfigError(f"admin.token_file: {path} can't be read: {fault}") from fault
+    if len(token) < LEAST_TOKEN or not token.isascii() or not token.isprintable():
+        raise ConfigError(f"admin.token_file: {path} must hold at least {LEAST_TOKEN} plain characters")
+    return AdminConfig(listen, token)
+
+
+LEAST_TOKEN = 16
+
+
 def _uwsgi(operator: Table, kinds: set[str]) -> UwsgiConfig | None:
     if "uwsgi" not in operator:
         return None
@@ -126,7 +190,7 @@
         mapped=Mapped(
             kind=word(names, "class", "uwsgi.vars.class"),
             classes={said: kind(classes, said, f"uwsgi.classes.{said}") for said in classes},
-            default_class=word(raw, "default_class", "uwsgi.default_class")
+            default_class=kind(raw, "default_class", "uwsgi.default_class")
             if "default_class" in raw
             else None,
             id=named("id"),
@@ -160,7 +224,7 @@
 def _known(raw: Table, path: str, keys: tuple[str, ...]) -> None:
     for key in raw:
         if key not in keys:
-            raise ConfigError(f"{path}.{key} is not known")
+            raise ConfigError(f"{path}.{key} is not known".lstrip("."))
 
 
 def _settings(raw: Table) -> Settings:
--- a/marlstep/core/engine.py
+++ b/marlstep/core/engine.py
@@ -9,7 +9,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 
 from marlstep.core.keys import KeyTable
@@ -19,6 +19,7 @@
 from marlstep.units import MILLISECOND, ZERO, instant, instant_us, span, span_us
 from petrelcart.interface import (
     Action,
+    Allowance,
     Arrival,
     Attach,
     Call,
@@ -74,6 +75,8 @@
     def __init__(self, settings: Settings, seed: int, timeline: Timeline, ports: Ports) -> None:
         self.settings = settings
         self.kinds = {kind.name: kind for kind in settings.classes}
+        self.tenants = {tenant.name: tenant for tenant in settings.tenants}
+        self.tenant_counts: dict[str, Counter[str]] = {name: Counter() for name in self.tenants}
         self.say: float | None = None  # the free value, carried by every answer
         self.healthy = True
         self.counts: Counter[str] = Counter()
@@ -138,7 +141,7 @@
             self._keys.note(key, offer.id)
         request.deadline = self._timeline.at(due, lambda: self._overdue(request))
         self._unanswered += 1
-        self.counts["read"] += 1
+        self._count(request, "read")
         self._post(
             Arrival(
                 id=offer.id,
@@ -161,10 +164,20 @@
         """Nobody can take the answer any more."""
         request = self._requests.get(handle)
         if request is not None and not request.answered:
-            self.counts["gone"] += 1
+            self._count(request, "gone")
             self._post(Gone(request.id))
             self._settle(request)
 
+    def allow(self, tenant: str, per_s: float) -> None:
+        """Change a tenant's allowance from now on."""
+        self.tenants[tenant] = replace(self.tenants[tenant], allowance_per_s=per_s)
+        self._post(Allowance(tenant, per_s))
+
+    def _count(self, request: Request, what: str) -> None:
+        self.counts[what] += 1
+        if (counts := self.tenant_counts.get(request.offer.tenant or "")) is not None:
+            counts[what] += 1
+
     # From backends and stores.
 
     def run_ended(self, id: str, outcome: Outcome, elapsed: timedelta, result: bytes = b"") -> None:
@@ -329,14 +342,14 @@
                 now = self._timeline.now()
                 window = span(request.kind.window_us + request.kind.deadline_us)
                 self._keys.keep((request.offer.kind, request.offer.once), request.id, now + window, now)
-            self.counts["runs"] += 1
+            self._count(request, "runs")
             request.backend.start(request)
 
     def _call(self, request: Request, until: datetime) -> None:
         if request.stage is not Stage.AT_CALL:
             return
         request.stage, request.called_at = Stage.CALLING, self._timeline.now()
-        self.counts["calls"] += 1
+        self._count(request, "calls")
         if self._ports.store is None:  # nothing lies below: the call never ran
             self._timeline.soon(lambda: self.call_ended(request.id, Outcome.CONNECT_FAILED))
         else:
@@ -416,7 +429,7 @@
         """The one place where final answers go out."""
         if request.answered:
             return
-        self.counts[answer.verdict.value] += 1
+        self._count(request, answer.verdict.value)
         request.front.deliver(request.ticket, answer)
         self._settle(request)
 
--- a/petrelcart/interface.py
+++ b/petrelcart/interface.py
@@ -246,7 +246,15 @@
     gauges: Mapping[str, float] = field(default_factory=dict)  # cpu, runq, memory, conns; where there are any
 
 
-Event = Arrival | Gone | CallNeeded | CallEnded | RunEnded | Drain | TimerDue
+@dataclass(slots=True)
+class Allowance:
+    """From now on a tenant may send so many requests a second, across all app servers."""
+
+    tenant: str
+    per_s: float
+
+
+Event = Arrival | Gone | CallNeeded | CallEnded | RunEnded | Drain | TimerDue | Allowance
 
 
 # Actions: what the app server is to do, in this order.
--- a/petrelcart/policy.py
+++ b/petrelcart/policy.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass
 
 from petrelcart.interface import (
-    Action, Arrival, Attach, Below, Call, CallEnded, CallNeeded, ClassSettings, Drain, Effect, Event, Fail,
-    Forget, Gone, Halt, HaltMode, Health, IdleLimit, Keep, Outcome, Refuse, Run, RunEnded, Say,
+    Action, Allowance, Arrival, Attach, Below, Call, CallEnded, CallNeeded, ClassSettings, Drain, Effect,
+    Event, Fail, Forget, Gone, Halt, HaltMode, Health, IdleLimit, Keep, Outcome, Refuse, Run, RunEnded, Say,
     Saying, SetTimer, Settings, Skip, TimerDue,
 )  # fmt: skip
 
@@ -51,6 +51,7 @@
 class Entry:
     id: str
     kind: ClassSettings
+    share: float  # of the worth: less than 1 where its tenant sends more than it is allowed
     worth: float
     arrived: int
     due: int
@@ -96,6 +97,8 @@
         self.call_usual, self.call_mean = self.aim * LAG_SHARE, 0.0
         self.call_rate = CALL_SHARE * settings.calls_out * (settings.below is Below.SHARED)  # 0: not bounded
         self.call_room = self.call_most = self.call_rate * settings.calls_over_us  # time for new calls
+        self.allowed = {one.name: one.allowance_per_s / settings.peers for one in settings.tenants}
+        self.unused: dict[str, tuple[float, int]] = {}  # of a tenant's allowance, and when that was so
         self.drained = self.stops = NEVER
         self.idle = settings.idle_us  # connections that carry nothing for longer are closed
         self.armed = NEVER  # when the next timer is due
@@ -116,6 +119,8 @@
                     self._tick(event)
                 case Drain():
                     self._drain(event.stops_us)
+                case Allowance():
+                    self.allowed[event.tenant] = event.per_s / self.settings.peers
                 case _ if (entry := self.ledger.get(event.id)) and entry.state is not State.OVER:
                     self._progress(entry, event)
         while self.wakes and (self.wakes[0][0] <= now_us or self.wakes[0][2].id not in self.ledger):
@@ -144,7 +149,9 @@
         due = min(self.stops, event.gives_up_us or max(self.now, arrived + kind.deadline_us))
         self.number += 1
         aim, known = arrived + kind.aim_us, arrived + kind.window_us + kind.deadline_us
-        entry = Entry(event.id, kind, kind.worth, arrived, due, aim, known, event.kb, self.number)
+        share = self._share(event.tenant)
+        worth = kind.worth * share
+        entry = Entry(event.id, kind, share, worth, arrived, due, aim, known, event.kb, self.number)
         self.ledger[entry.id] = entry
         self._move(entry, State.HELD)
         self._wake_at(entry, min(entry.aim + 1, entry.due - self.lead))
@@ -167,6 +174,18 @@
                 entry.number, prior.see = prior.number, entry
                 self._answer(prior)
 
+    def _share(self, tenant: str | None) -> float:
+        """Up to a second's allowance may come at once; what is beyond it counts for little."""
+        if not self.allowed or tenant is None:
+            return 1.0
+        rate = self.allowed.get(tenant, 0.0)
+        unused, since = self.unused.get(tenant, (max(1.0, rate), self.now))
+        unused = min(max(1.0, rate), unused + rate * (self.now - since) / SECOND)
+        within = rate > 0 and unused >= 1
+        if tenant in self.allowed:
+            self.unused[tenant] = (unused - within, self.now)
+        return 1.0 if within else self.settings.over_share_worth
+
     def _make_room(self, entry: Entry, prior: Entry | None) -> bool:
         """Is the hold, this entry and its key in it, under N? What is worth nothing gives way first."""
         new_key = entry.kind.effect is Effect.KEYED and not (prior and prior.kept_until)
@@ -330,7 +349,7 @@
         keyed = entry.kind.effect is Effect.KEYED  # its result serves the caller's next try too
         if not (entry.owed or keyed) or ready > (max(entry.due, entry.aim) if keyed else entry.due):
             return 0.0
-        return entry.kind.worth * (entry.kind.late_share if ready > entry.aim else 1.0)
+        return entry.kind.worth * entry.share * (entry.kind.late_share if ready > entry.aim else 1.0)
 
     def _pause_lowest(self, worth: float) -> bool:
         """Pause the lowest, latest run below this worth."""
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,97 @@
+"""Configuration: what is wrong is named by its key, and the program says so and exits with 2."""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from marlstep.__main__ import main
+from marlstep.config import ConfigError, check, load
+from marlstep.units import MILLISECOND
+from tests.node import SETTINGS, raw_config
+
+DEPLOY = Path(__file__).parent.parent / "deploy"
+FRONT: dict[str, Any] = {"listen": "127.0.0.1:3031", "upstream": "127.0.0.1:3032", "vars": {"class": "C"}}
+
+
+def test_the_files_that_are_shipped_are_good() -> None:
+    config = load({"PROXY_CONFIG": str(DEPLOY / "node.json"), "PROXY_NAME": "n9"}, str(DEPLOY / "uwsgi.toml"))
+    assert (config.name, config.listen, config.stop) == ("n9", ("127.0.0.1", 9090), 3200 * MILLISECOND)
+    assert config.uwsgi is not None and config.uwsgi.mapped.classes["setpoint"] == "setpoint-cmd"
+
+
+def test_without_an_operators_file_the_second_front_is_off() -> None:
+    assert check(raw_config()).uwsgi is None
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"kernel": None}, "kernel is missing"),
+        ({"kernel": "cores.example:6100"}, "kernel must be a numeric address"),
+        ({"listen": "127.0.0.1"}, "listen must be"),
+        ({"listen": "127.0.0.1:99999"}, "listen must be"),
+        ({"name": "two words"}, "name must be a word"),
+        ({"stop_ms": "soon"}, "stop_ms must be a whole number"),
+        ({"stop_ms": True}, "stop_ms must be a whole number"),
+        ({"seed": "xyz"}, "seed must be"),
+        ({"limits": {"sockets": 1}}, "limits.sockets must be"),
+        ({"limits": []}, "limits must be a table"),
+        ({"settings": None}, "settings is missing"),
+        ({"settings": {**SETTINGS, "resolutionUs": None}}, "conf.resolutionUs is missing"),
+        ({"settings": {**SETTINGS, "resolutionUs": "x"}}, "tick_us must be of type int"),
+        (
+            {"settings": {**SETTINGS, "familyInfo": {**SETTINGS["familyInfo"], "cpus": 0}}},
+            "cores must be at least 1",
+        ),
+    ],
+)
+def test_what_is_wrong_is_named_by_its_key(change: dict[str, Any], key: str) -> None:
+    with pytest.raises(ConfigError, match=key):
+        check(raw_config(**change))
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"upstream": "localhost:1"}, "uwsgi.upstream must be a numeric address"),
+        ({"vars": {}}, "uwsgi.vars.class is missing"),
+        ({"vars": {"class": "C", "colour": "X"}}, "uwsgi.vars.colour is not known"),
+        ({"classes": {"x": "no-such"}}, "uwsgi.classes.x must be one of"),
+        ({"default_class": "no-such"}, "uwsgi.default_class must be one of"),
+        ({"max_body": -1}, "uwsgi.max_body must be"),
+        ({"held_kb": "much"}, "uwsgi.held_kb must be a number"),
+        ({"max_bodies": 1}, "uwsgi.max_bodies is not known"),
+    ],
+)
+def test_what_is_wrong_in_the_operators_file_is_named_by_its_key(change: dict[str, Any], key: str) -> None:
+    with pytest.raises(ConfigError, match=key):
+        check(raw_config(), {"uwsgi": FRONT | change})
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", json.dumps(raw_config(kernel="x"))])
+def test_the_program_says_what_is_wrong_in_a_line_and_exits_with_2(
+    text: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(text)
+    monkeypatch.setenv("PROXY_CONFIG", str(path))
+    monkeypatch.setattr("sys.argv", ["marlstep"])
+    assert main() == 2
+    assert capsys.readouterr().err.count("\n") == 1
+
+
+def test_the_deploy_file_names_what_the_platform_needs() -> None:
+    deploy = tomllib.loads((DEPLOY / "balancer.toml").read_text())
+    assert {"build", "run", "sim", "policy", "node", "packages"} <= set(deploy)
+    for path in [*deploy["policy"], *deploy["node"]]:
+        assert (DEPLOY.parent / path).exists()
+
+
+def test_the_services_example_is_good() -> None:
+    config = load({"PROXY_CONFIG": str(DEPLOY / "node.json")}, str(DEPLOY / "service.toml"))
+    assert [tenant.portion for tenant in config.settings.tenants] == [0.5, 0.3, 0.2]
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -1,9 +1,13 @@
 """The kernel link: notices once each, commands again after a break, and nothing that wedges it."""
 
+import dataclasses
+
+import pytest
+
 from marlstep.kernel import Kernel, _Link
 from marlstep.units import MILLISECOND
 from petrelcart.interface import Outcome
-from tests.node import HandClock, Notes, Wire
+from tests.node import Desk, HandClock, Notes, Wire
 
 
 class Rig:
@@ -24,3 +28,64 @@
     wire.feed(b"BOOTED hot 12.5\r\nREAP 1 9b1f03aa5c7e2d41 complete 25.382 2\r\nok\r\n")
     assert rig.notes.told == [("ended", "9b1f03aa5c7e2d41", Outcome.OK, 25.382 * MILLISECOND, b"ok")]
     assert not wire.closed
+
+
+def sched(rig: Rig, id: str) -> None:
+    desk = Desk()
+    desk.submit(1)
+    [request] = desk.core._requests
+    request.offer = dataclasses.replace(request.offer, id=id)
+    rig.kernel.start(request)
+
+
+def test_commands_given_while_there_is_no_link_go_out_when_it_is_in_step() -> None:
+    rig = Rig()
+    sched(rig, "a")
+    wire = rig.connect()
+    assert wire.take() == b"OPEN 0\r\n"
+    wire.feed(b"BOOTED hot 1\r\n")
+    assert wire.take() == b"SYSINFO sync\r\n"
+    wire.feed(b"INFO sync 0.5 1\r\n")
+    assert wire.take() == b"SCHED a temp-history 4\r\nbody\r\n"
+
+
+def test_after_a_break_only_what_no_notice_speaks_of_is_sent_again() -> None:
+    # Guards against a setpoint that ended while the link was down being started once more.
+    rig = Rig()
+    first = rig.connect()
+    first.feed(b"BOOTED hot 1\r\nINFO sync 0 0\r\n")
+    sched(rig, "a")
+    sched(rig, "b")
+    first.close()
+    rig.clock.advance(10)
+    second = rig.connect()
+    assert second.take() == b"OPEN 0\r\n"
+    second.feed(b"BOOTED hot 1\r\nREAP 1 a complete 1 0\r\n\r\nINFO sync 0 0\r\n")
+    assert b"SCHED a" not in second.written and b"SCHED b" in second.written
+    second.feed(b"REAP 1 a complete 1 0\r\n\r\n")
+    assert [one for one in rig.notes.told if one[0] == "ended"] == [
+        ("ended", "a", Outcome.OK, MILLISECOND, b""),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("command", "outcome"), [("SCHED", Outcome.MOOT), ("PREEMPT", None), ("SYSINFO", None), ("RESCHED", None)]
+)
+def test_a_command_that_was_not_carried_out_ends_the_run_that_hangs_on_it(
+    command: str, outcome: Outcome | None
+) -> None:
+    rig = Rig()
+    wire = rig.connect()
+    wire.feed(b"BOOTED hot 1\r\nINFO sync 0 0\r\n")
+    sched(rig, "a")
+    wire.feed(f"EINVAL {command} a\r\n".encode())
+    ends = [one[2] for one in rig.notes.told if one[0] == "ended"]
+    assert ends == ([outcome] if outcome else []) and not wire.closed
+
+
+@pytest.mark.parametrize("bad", [b"REAP 1 a complete\r\n", b"REAP 1 a complete 1 2\r\nlong\r\n", b"x" * 9000])
+def test_broken_framing_ends_the_link_and_no_more(bad: bytes) -> None:
+    rig = Rig()
+    wire = rig.connect()
+    wire.feed(bad)
+    assert wire.closed and not rig.notes.told
