Share the line reader of kernel and database; give back stalled connections

Seen on reading: a front end that stays inside a frame while its connection is closing was waited for without end (resp.py _cut), and one that takes no answers kept its socket after finish (base.py). Both held a descriptor for good. Ruled out: idle and whole connections, which closed as stated. Now each has one more period, then is cut off. An action that fails no longer takes the others of its turn along. A node starts though the name service's address can't be reached. The sizes of the uwsgi front must stay within half of the node's memory.

--- a/marlstep/admin.py
+++ b/marlstep/admin.py
@@ -54,10 +54,9 @@
 class AdminConnection(Connection):
     """One request, one response, then the close."""
 
-    front: Admin  # type: ignore[assignment]
-
     def __init__(self, front: Admin) -> None:
-        super().__init__(front, RING_SIZE)  # type: ignore[arg-type]
+        super().__init__(front, RING_SIZE)
+        self.front = front
         self._parser = httptools.HttpRequestParser(self)
         self._read = 0
         self._path, self._token, self._body = b"", b"", b""
@@ -128,7 +127,7 @@
         self.finish()
 
 
-class Admin(Listener[AdminConnection]):
+class Admin(Listener):
     def __init__(self, core: Core, timeline: Timeline, token: str, drain: Callable[[], None]) -> None:
         super().__init__(core, timeline, CONNECTIONS, TIMEOUT)
         self.token = token.encode()
--- a/marlstep/config.py
+++ b/marlstep/config.py
@@ -184,7 +184,7 @@
     def named(key: str) -> str | None:
         return word(names, key, f"uwsgi.vars.{key}") if key in names else None
 
-    return UwsgiConfig(
+    sizes = UwsgiConfig(
         listen=address(raw, "listen", "uwsgi.listen"),
         upstream=address(raw, "upstream", "uwsgi.upstream"),
         mapped=Mapped(
@@ -205,8 +205,15 @@
         read_timeout=whole(raw, "read_timeout_ms", "uwsgi.read_timeout_ms", 10, 600_000, 10_000)
         * MILLISECOND,
     )
+    if sizes.connections * (sizes.body_limit + sizes.response_limit) > MOST_HELD:
+        raise ConfigError(
+            "uwsgi.max_connections times uwsgi.max_body and uwsgi.max_response together "
+            f"must stay within {MOST_HELD >> 20} MiB"
+        )
+    return sizes
 
 
+MOST_HELD = 96 << 20  # bytes of bodies and responses: half of what a node may take
 UWSGI_KEYS = (
     "listen",
     "upstream",
--- a/marlstep/core/engine.py
+++ b/marlstep/core/engine.py
@@ -272,7 +272,10 @@
 
     def _decide(self, events: list[Event]) -> None:
         for action in self._controller.decide(instant_us(self._timeline.now()), events):
-            self._carry_out(action)
+            try:
+                self._carry_out(action)
+            except Exception:  # one action that fails must not take the others of its turn along
+                log.exception("%s was not carried out", action)
 
     def _carry_out(self, action: Action) -> None:
         match action:
--- a/marlstep/db.py
+++ b/marlstep/db.py
@@ -12,8 +12,7 @@
 from datetime import datetime
 
 from marlstep.core.model import Request, Sink
-from marlstep.ring import LineTooLong
-from marlstep.stream import RingStream
+from marlstep.lines import LineFault, LineStream, length
 from marlstep.timeline import Deadline, Timeline
 from marlstep.units import MILLISECOND, SECOND, whole_ms
 from petrelcart.interface import Outcome
@@ -28,20 +27,16 @@
 }
 RING_SIZE = 128 * 1024
 LINE_LIMIT = 256
-BODY_LIMIT = 64 * 1024
 IDLE = 5 * SECOND  # the other side closes after 10 s
 LATE = 50 * MILLISECOND  # past its time a reply may still be on its way for so long
 
 
-class DatabaseFault(ValueError):
-    """The database wrote what can't be understood."""
+class DatabaseLink(LineStream):
+    """One connection to the database."""
 
-
-class _Link(RingStream):
     def __init__(self, database: Database) -> None:
-        super().__init__(RING_SIZE)
+        super().__init__(RING_SIZE, LINE_LIMIT)
         self._database = database
-        self._id, self._length = "", -1  # of a reply whose body is not whole yet
 
     def made(self) -> None:
         self._database.link_up(self)
@@ -49,39 +44,17 @@
     def lost(self) -> None:
         self._database.link_lost(self)
 
-    def received(self) -> None:
-        try:
-            while self._next():
-                pass
-        except (DatabaseFault, LineTooLong) as fault:
-            log.error("database link dropped: %s", fault)
-            self.abort()
-        if self.at_end:
-            self.abort()
-
-    def _next(self) -> bool:
-        if self._length < 0:
-            line = self.inbox.line(LINE_LIMIT)
-            if line is None:
-                return False
-            match line.decode("ascii", "replace").split(" "):
-                case [id, "ROWS", length] if (
-                    length.isascii() and length.isdigit() and int(length) <= BODY_LIMIT
-                ):
-                    self._id, self._length = id, int(length)
-                case [id, end] if end in ENDS:
-                    self._database.reply(id, ENDS[end], b"")
-                    return True
-                case words:
-                    raise DatabaseFault(f"unknown reply {' '.join(words)[:64]!r}")
-        if self.inbox.used < self._length + 2:
-            return False
-        body = self.inbox.take(self._length)
-        if self.inbox.take(2) != b"\r\n":
-            raise DatabaseFault("a body longer than its length")
-        id, self._length = self._id, -1
-        self._database.reply(id, Outcome.OK, body)
-        return True
+    def body_length(self, words: list[str]) -> int | None:
+        return length(words[2]) if len(words) == 3 and words[1] == "ROWS" else None
+
+    def message(self, words: list[str], body: bytes) -> None:
+        match words:
+            case [id, "ROWS", _]:
+                self._database.reply(id, Outcome.OK, body)
+            case [id, end] if end in ENDS:
+                self._database.reply(id, ENDS[end], b"")
+            case _:
+                raise LineFault(f"unknown reply {' '.join(words)[:64]!r}")
 
 
 class Database:
@@ -89,7 +62,7 @@
         self._address = address
         self._timeline = timeline
         self._sink = sink
-        self._link: _Link | None = None
+        self._link: DatabaseLink | None = None
         self._opening: asyncio.Task[None] | None = None
         self._waiting: list[tuple[str, bytes, datetime]] = []  # calls made before the connection stands
         self._calls: dict[str, Deadline] = {}  # in hand, each with the end of its wait
@@ -123,7 +96,7 @@
 
     async def _open(self) -> None:
         try:
-            await asyncio.get_running_loop().create_connection(lambda: _Link(self), *self._address)
+            await asyncio.get_running_loop().create_connection(lambda: DatabaseLink(self), *self._address)
         except OSError as fault:
             # A refused connection proves that no call ran.
             log.warning("database not reached: %s", fault)
@@ -133,14 +106,14 @@
         finally:
             self._opening = None
 
-    def link_up(self, link: _Link) -> None:
+    def link_up(self, link: DatabaseLink) -> None:
         self._link = link
         waiting, self._waiting = self._waiting, []
         for id, body, until in waiting:
             if id in self._calls:
                 self._send(id, body, until)
 
-    def link_lost(self, link: _Link) -> None:
+    def link_lost(self, link: DatabaseLink) -> None:
         if self._link is link:
             self._link = None
             waiting = {id for id, _, _ in self._waiting}
--- a/marlstep/fronts/base.py
+++ b/marlstep/fronts/base.py
@@ -5,29 +5,32 @@
 import asyncio
 import logging
 from datetime import timedelta
-from typing import Generic, TypeVar
 
 from marlstep.core.engine import Core
 from marlstep.core.model import Answer, Ticket
 from marlstep.slots import SlotTable, TableFull
 from marlstep.stream import RingStream
 from marlstep.timeline import Deadline, Timeline
+from marlstep.units import SECOND
 
 log = logging.getLogger(__name__)
 
+LINGER = 5 * SECOND  # for the last of what was sent to be taken
+
 
 class Connection(RingStream):
     """A front end's connection. It has a slot in its front's table from `made` to `lost`."""
 
-    def __init__(self, front: Listener[Connection], ring_size: int) -> None:
+    def __init__(self, listener: Listener, ring_size: int) -> None:
         super().__init__(ring_size)
-        self.front = front
+        self.listener = listener
         self.handle = 0
         self._idle: Deadline | None = None
+        self._linger: Deadline | None = None
 
     def made(self) -> None:
         try:
-            self.handle = self.front.connections.add(self)
+            self.handle = self.listener.connections.add(self)
         except TableFull:
             log.warning("connection turned away: the table is full")
             self.abort()
@@ -35,17 +38,25 @@
         self.rest()
 
     def lost(self) -> None:
-        self.front.timeline.cancel(self._idle)
-        if self.front.connections.free(self.handle):
+        self.listener.timeline.cancel(self._idle)
+        self.listener.timeline.cancel(self._linger)
+        if self.listener.connections.free(self.handle):
             self.gone()
 
     def rest(self) -> None:
         """Something went over the connection: its idle time starts anew."""
-        timeline = self.front.timeline
+        timeline = self.listener.timeline
         timeline.cancel(self._idle)
         self._idle = None
-        if self.front.idle_after:
-            self._idle = timeline.at(timeline.now() + self.front.idle_after, self._at_rest)
+        if self.listener.idle_after:
+            self._idle = timeline.at(timeline.now() + self.listener.idle_after, self._at_rest)
+
+    def finish(self) -> None:
+        """As for any stream, but a peer that does not take what is left is cut off in the end."""
+        if self._linger is None and self.connected:
+            timeline = self.listener.timeline
+            self._linger = timeline.at(timeline.now() + LINGER, self.abort)
+        super().finish()
 
     def _at_rest(self) -> None:
         self._idle = None
@@ -69,10 +80,7 @@
         raise NotImplementedError
 
 
-C = TypeVar("C", bound=Connection)
-
-
-class Listener(Generic[C]):
+class Listener:
     def __init__(self, core: Core, timeline: Timeline, limit: int, idle_after: timedelta) -> None:
         self.core = core
         self.timeline = timeline
--- a/marlstep/fronts/resp.py
+++ b/marlstep/fronts/resp.py
@@ -93,14 +93,14 @@
 
 
 class RespConnection(Connection):
-    front: RespFront  # type: ignore[assignment]
-
     def __init__(self, front: RespFront) -> None:
-        super().__init__(front, RING_SIZE)  # type: ignore[arg-type]
+        super().__init__(front, RING_SIZE)
+        self.front = front
         self._frames = FrameReader()
         self._tags = Tags()
         self._open: dict[int, int] = {}  # tag to request
-        self._leaving = False  # nothing new is read here
+        self._leaving = False  # the peer was told to send nothing new here
+        self._broken = False  # what the peer sends can't be told apart any more
 
     def made(self) -> None:
         super().made()
@@ -110,7 +110,7 @@
     def received(self) -> None:
         if self.inbox.used:
             self.rest()
-        while not self._leaving_for_good and not self.clogged:
+        while not self._broken and not self.clogged:
             try:
                 frame = self._frames.next(self.inbox)
             except Malformed as fault:
@@ -119,13 +119,11 @@
             if frame is None:
                 break
             self._take_frame(frame)
-        if self._leaving_for_good:
+        if self._broken:
             self.inbox.skip(self.inbox.used)
         if self.at_end and not self._open:
             self.finish()
 
-    _leaving_for_good = False  # the stream can't be trusted any more
-
     def _take_frame(self, frame: list[bytes]) -> None:
         tag = read_tag(frame[1]) if len(frame) > 1 else None
         if tag is None or not self._tags.take(tag):
@@ -157,7 +155,7 @@
         log.warning("malformed: %s", fault)
         if fault.tag is not None and self._tags.take(fault.tag):
             self._fail(fault.tag, str(fault))
-        self._leaving_for_good = True
+        self._broken = True
         self.inbox.skip(self.inbox.used)
         self.leave()
 
@@ -171,7 +169,7 @@
                 fields["last"] = "1"
         self._say(number, WORDS[answer.verdict], fields, answer.body)
         self.rest()
-        if not self._open and (self.at_end or self._leaving_for_good):
+        if not self._open and (self.at_end or self._broken):
             self.finish()
 
     def _say(self, tag: int, word: bytes, fields: dict[str, str], body: bytes) -> None:
@@ -190,28 +188,31 @@
 
     def leave(self) -> None:
         """Tell the peer to send nothing more here. It closes when all is answered, or is closed on later."""
-        if self._leaving_for_good and not self._open:
+        if self._broken and not self._open:
             self._send_closing()
             self.finish()
         elif not self._leaving:
             self._send_closing()
-            timeline = self.front.timeline
-            timeline.at(timeline.now() + CLOSE_AFTER, self._cut)
+            self._cut_later(patient=True)
         self._leaving = True
 
     def _send_closing(self) -> None:
         if not self._leaving:
             self.send(write_frame(b"0", b"closing"))
 
-    def _cut(self) -> None:
-        if not self._open and not self._frames.inside:
+    def _cut_later(self, patient: bool) -> None:
+        timeline = self.front.timeline
+        timeline.at(timeline.now() + CLOSE_AFTER, lambda: self._cut(patient))
+
+    def _cut(self, patient: bool) -> None:
+        """The peer should have closed. A frame that is not whole by now has one more chance to be."""
+        if self.connected and (self._open or (patient and self._frames.inside)):
+            self._cut_later(patient=bool(self._open))
+        else:
             self.finish()
-        elif self.connected:
-            timeline = self.front.timeline
-            timeline.at(timeline.now() + CLOSE_AFTER, self._cut)
 
 
-class RespFront(Listener[RespConnection]):
+class RespFront(Listener):
     def __init__(
         self, core: Core, timeline: Timeline, backend: Backend, limit: int, idle_after: timedelta
     ) -> None:
--- a/marlstep/fronts/uwsgi.py
+++ b/marlstep/fronts/uwsgi.py
@@ -33,10 +33,9 @@
 
 
 class UwsgiConnection(Connection):
-    front: UwsgiFront  # type: ignore[assignment]
-
     def __init__(self, front: UwsgiFront) -> None:
-        super().__init__(front, RING_SIZE)  # type: ignore[arg-type]
+        super().__init__(front, RING_SIZE)
+        self.front = front
         self._packet = PacketReader(front.body_limit)
         self._request: int | None = None
         self._taken = False  # its one packet is whole, or can't become so
@@ -102,7 +101,7 @@
             self.finish()
 
 
-class UwsgiFront(Listener[UwsgiConnection]):
+class UwsgiFront(Listener):
     def __init__(
         self,
         core: Core,
--- a/marlstep/kernel.py
+++ b/marlstep/kernel.py
@@ -13,8 +13,7 @@
 from datetime import timedelta
 
 from marlstep.core.model import Request, Sink
-from marlstep.ring import LineTooLong
-from marlstep.stream import RingStream
+from marlstep.lines import LineFault, LineStream, length
 from marlstep.timeline import Timeline
 from marlstep.units import MILLISECOND, ZERO
 from petrelcart.interface import Outcome
@@ -29,21 +28,11 @@
 }
 RING_SIZE = 256 * 1024
 LINE_LIMIT = 8 * 1024
-BODY_LIMIT = 64 * 1024  # of a result or a call; the protocol names 4 KiB for results
+WITH_BODY = {"REAP": 6, "IOREQ": 4}  # the number of words of lines that a body follows
 RETRY_FIRST, RETRY_MOST = 50 * MILLISECOND, 1000 * MILLISECOND
 SYNC_TAG = "sync"
 
 
-class KernelFault(ValueError):
-    """The kernel wrote what can't be understood."""
-
-
-def _number(word: str) -> int:
-    if not (word.isascii() and word.isdigit()):
-        raise KernelFault(f"not a number: {word[:32]!r}")
-    return int(word)
-
-
 def _milliseconds(word: str) -> timedelta:
     """Figures that only inform may be odd: a notice must not be lost for them."""
     try:
@@ -53,14 +42,12 @@
         return ZERO
 
 
-class _Link(RingStream):
-    """One connection: cuts the stream into notices."""
+class KernelLink(LineStream):
+    """One connection to the kernel."""
 
     def __init__(self, kernel: Kernel) -> None:
-        super().__init__(RING_SIZE)
+        super().__init__(RING_SIZE, LINE_LIMIT)
         self._kernel = kernel
-        self._words: list[str] | None = None  # of a notice whose body is not whole yet
-        self._length = 0
 
     def made(self) -> None:
         self._kernel.link_up(self)
@@ -68,40 +55,16 @@
     def lost(self) -> None:
         self._kernel.link_lost(self)
 
-    def received(self) -> None:
-        try:
-            while self._next():
-                pass
-        except (KernelFault, LineTooLong) as fault:
-            # What follows can't be told apart any more; the kernel keeps its notices for a new link.
-            log.error("kernel link dropped: %s", fault)
-            self.abort()
-        if self.at_end:
-            self.abort()
-
-    def _next(self) -> bool:
-        if self._words is None:
-            line = self.inbox.line(LINE_LIMIT)
-            if line is None:
-                return False
-            words = line.decode("ascii", "replace").split(" ")
-            if words[0] not in ("REAP", "IOREQ"):
-                self._kernel.notice(words, b"")
-                return True
-            if len(words) != (6 if words[0] == "REAP" else 4):
-                raise KernelFault(f"malformed {words[0]}")
-            self._length = _number(words[-1])
-            if self._length > BODY_LIMIT:
-                raise KernelFault(f"a body of {self._length} bytes")
-            self._words = words
-        if self.inbox.used < self._length + 2:
-            return False
-        body = self.inbox.take(self._length)
-        if self.inbox.take(2) != b"\r\n":
-            raise KernelFault("a body longer than its length")
-        words, self._words = self._words, None
+    def body_length(self, words: list[str]) -> int | None:
+        parts = WITH_BODY.get(words[0])
+        if parts is None:
+            return None
+        if len(words) != parts:
+            raise LineFault(f"malformed {words[0]}")
+        return length(words[-1])
+
+    def message(self, words: list[str], body: bytes) -> None:
         self._kernel.notice(words, body)
-        return True
 
 
 class Kernel:
@@ -118,7 +81,7 @@
         self._gauge_names = gauge_names
         self._timeline = timeline
         self._sink = sink
-        self._link: _Link | None = None
+        self._link: KernelLink | None = None
         self._synced = False
         self._last = 0  # the number of the last notice that was read
         self._unconfirmed: dict[str, list[bytes]] = {}
@@ -142,7 +105,7 @@
 
     async def _open(self) -> None:
         try:
-            await asyncio.get_running_loop().create_connection(lambda: _Link(self), *self._address)
+            await asyncio.get_running_loop().create_connection(lambda: KernelLink(self), *self._address)
         except OSError as fault:
             log.warning("kernel not reached: %s", fault)
             self._connect_later()
@@ -154,11 +117,11 @@
 
     # The link.
 
-    def link_up(self, link: _Link) -> None:
+    def link_up(self, link: KernelLink) -> None:
         self._link, self._synced = link, False
         link.send(b"OPEN %d\r\n" % self._last)
 
-    def link_lost(self, link: _Link) -> None:
+    def link_lost(self, link: KernelLink) -> None:
         if self._link is link:
             self._link, self._synced = None, False
             if not self._closing:
@@ -174,23 +137,26 @@
             case ["EINVAL", command, id]:
                 self._invalid(command, id)
             case ["REAP", number, id, end, ms, _]:
-                if self._is_new(_number(number)):
+                if self._is_new(number):
                     self._confirm(id)
                     self._sink().run_ended(id, ENDS.get(end, Outcome.ERROR), _milliseconds(ms), body)
             case ["IOREQ", number, id, _]:
-                if self._is_new(_number(number)):
+                if self._is_new(number):
                     self._confirm(id)
                     self._call_numbers[id] = int(number)
                     self._sink().call_needed(id, body)
             case ["DMESG", number, *text]:
-                if self._is_new(_number(number)):
+                if self._is_new(number):
                     log.info("kernel: %s", " ".join(text)[:200])
             case _:
                 # It has no body, so what follows can still be read: no reason to give up the link.
                 log.warning("unknown notice %r", " ".join(words)[:64])
 
-    def _is_new(self, number: int) -> bool:
+    def _is_new(self, word: str) -> bool:
         """Each notice counts once, however often a new link repeats it."""
+        if not (word.isascii() and word.isdigit()):
+            raise LineFault(f"not the number of a notice: {word[:32]!r}")
+        number = int(word)
         if number <= self._last:
             return False
         if number > self._last + 1:
@@ -224,6 +190,8 @@
         asked = [one.split(b" ", 1)[0].decode() for one in self._unconfirmed.get(id, [])]
         if command in asked:
             self._unconfirmed[id].pop(asked.index(command))
+            if not self._unconfirmed[id]:
+                del self._unconfirmed[id]
         if command == "SCHED" and command in asked:
             self._confirm(id)
             self._sink().run_ended(id, Outcome.MOOT, ZERO)
--- /dev/null
+++ b/marlstep/lines.py
@@ -0,0 +1,70 @@
+"""Streams of lines of words. Some lines are followed by a body, whose length is their last word."""
+
+from __future__ import annotations
+
+import logging
+
+from marlstep.ring import LineTooLong
+from marlstep.stream import RingStream
+
+log = logging.getLogger(__name__)
+
+BODY_LIMIT = 64 * 1024  # the protocol names 4 KiB for results
+
+
+class LineFault(ValueError):
+    """The peer wrote what leaves it open where the next line begins."""
+
+
+def length(word: str) -> int:
+    if not (word.isascii() and word.isdigit() and len(word) < 10) or int(word) > BODY_LIMIT:
+        raise LineFault(f"not a length: {word[:32]!r}")
+    return int(word)
+
+
+class LineStream(RingStream):
+    """Cuts the stream into messages. Broken framing ends the connection, as does the end of the peer."""
+
+    def __init__(self, ring_size: int, line_limit: int) -> None:
+        super().__init__(ring_size)
+        self._line_limit = line_limit
+        self._words: list[str] | None = None  # of a message whose body is not whole yet
+        self._length = 0
+
+    def body_length(self, words: list[str]) -> int | None:
+        """How long the body behind this line is; None where none follows. May raise LineFault."""
+        raise NotImplementedError
+
+    def message(self, words: list[str], body: bytes) -> None:
+        """One whole message. May raise LineFault."""
+        raise NotImplementedError
+
+    def received(self) -> None:
+        try:
+            while self._next():
+                pass
+        except (LineFault, LineTooLong) as fault:
+            log.error("%s dropped: %s", type(self).__name__, fault)
+            self.abort()
+        if self.at_end:
+            self.abort()
+
+    def _next(self) -> bool:
+        if self._words is None:
+            line = self.inbox.line(self._line_limit)
+            if line is None:
+                return False
+            words = line.decode("ascii", "replace").split(" ")
+            size = self.body_length(words)
+            if size is None:
+                self.message(words, b"")
+                return True
+            self._words, self._length = words, size
+        if self.inbox.used < self._length + 2:
+            return False
+        body = self.inbox.take(self._length)
+        if self.inbox.take(2) != b"\r\n":
+            raise LineFault("a body longer than its length")
+        words, self._words = self._words, None
+        self.message(words, body)
+        return True
--- a/marlstep/naming.py
+++ b/marlstep/naming.py
@@ -21,7 +21,10 @@
 
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, remote_addr=self._address)
+        try:
+            await loop.create_datagram_endpoint(lambda: self, remote_addr=self._address)
+        except OSError as fault:  # a node that is not listed still serves those who know it
+            log.error("no reports to the name service: %s", fault)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.DatagramTransport, transport)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -65,6 +65,7 @@
         ({"default_class": "no-such"}, "uwsgi.default_class must be one of"),
         ({"max_body": -1}, "uwsgi.max_body must be"),
         ({"held_kb": "much"}, "uwsgi.held_kb must be a number"),
+        ({"max_connections": 1000}, "uwsgi.max_connections times"),
         ({"max_bodies": 1}, "uwsgi.max_bodies is not known"),
     ],
 )
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marlstep.core.engine import Refused, Repeated
-from marlstep.core.model import Verdict
+from marlstep.core.model import Request, Verdict
 from marlstep.units import SECOND
 from petrelcart.interface import Outcome
 from tests.node import SETTINGS, Desk
@@ -171,3 +171,20 @@
     desk.submit(2)
     desk.clock.advance(8700)
     assert (desk.verdicts(1), desk.verdicts(2)) == ([Verdict.EXPIRED], [Verdict.REFUSED])
+
+
+def test_an_action_that_fails_takes_no_other_of_its_turn_along(monkeypatch: pytest.MonkeyPatch) -> None:
+    desk = Desk()
+    start = desk.backend.start
+
+    def fail_for_the_first(request: Request) -> None:
+        if request.id == "r1":
+            raise OSError("out of descriptors")
+        start(request)
+
+    monkeypatch.setattr(desk.backend, "start", fail_for_the_first)
+    desk.submit(1)
+    desk.submit(2)
+    assert desk.backend.told == [("start", "r2")]
+    desk.clock.advance(2700)
+    assert desk.verdicts(1) == [Verdict.EXPIRED]
--- a/tests/test_db.py
+++ b/tests/test_db.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marlstep.core.model import Request
-from marlstep.db import Database, _Link
+from marlstep.db import Database, DatabaseLink
 from marlstep.units import SECOND
 from petrelcart.interface import Outcome
 from tests.node import Desk, HandClock, Notes, Wire
@@ -15,7 +15,7 @@
     def __init__(self) -> None:
         self.clock, self.notes = HandClock(), Notes()
         self.database = Database(("127.0.0.1", 1), self.clock.timeline, lambda: self.notes)
-        self.wire = Wire(_Link(self.database))
+        self.wire = Wire(DatabaseLink(self.database))
         desk = Desk()
         desk.submit(1)
         [self.request] = desk.core._requests
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from marlstep.kernel import Kernel, _Link
+from marlstep.kernel import Kernel, KernelLink
 from marlstep.units import MILLISECOND
 from petrelcart.interface import Outcome
 from tests.node import Desk, HandClock, Notes, Wire
@@ -16,7 +16,7 @@
         self.kernel = Kernel(("127.0.0.1", 1), ("cpu", "runq"), self.clock.timeline, lambda: self.notes)
 
     def connect(self) -> Wire:
-        wire = Wire(_Link(self.kernel))
+        wire = Wire(KernelLink(self.kernel))
         return wire
 
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -85,7 +85,9 @@
 
 def kernel_link() -> tuple[Wire, Notes]:
     clock, notes = HandClock(), Notes()
-    return Wire(kernel._Link(kernel.Kernel(("127.0.0.1", 1), ("cpu",), clock.timeline, lambda: notes))), notes
+    return Wire(
+        kernel.KernelLink(kernel.Kernel(("127.0.0.1", 1), ("cpu",), clock.timeline, lambda: notes))
+    ), notes
 
 
 def database_link() -> tuple[Wire, Notes]:
@@ -93,7 +95,7 @@
     database = db.Database(("127.0.0.1", 1), clock.timeline, lambda: notes)
     for id in "abcde":
         database._calls[id] = clock.timeline.at(clock.now(), lambda: None)
-    return Wire(db._Link(database)), notes
+    return Wire(db.DatabaseLink(database)), notes
 
 
 @FIXED
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -166,3 +166,16 @@
     platform.end(2)
     assert platform.desk.core.unanswered == 0
     assert other.take() == write_frame(b"2", b"done", b"", b"result")
+
+
+def test_a_peer_that_stays_inside_a_frame_or_takes_no_answer_is_cut_off_in_the_end() -> None:
+    # Guards against connections, and with them descriptors, that are never given back.
+    platform = Platform()
+    stalled, deaf = platform.connect(), platform.connect()
+    stalled.feed(exec_frame(1)[:20])
+    deaf.stream.pause_writing()
+    platform.feed(deaf, write_frame(b"ALIVE", b"1") + b"garbage\r\n")
+    assert not deaf.closed
+    platform.front.stop_accepting()
+    platform.desk.clock.advance(5_000)
+    assert stalled.closed and deaf.closed and len(platform.front.connections) == 0
