--- a/marlstep/trace.py
+++ b/marlstep/trace.py
@@ -16,7 +16,7 @@
 import sys
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import TextIO
 
@@ -37,7 +37,6 @@
     time: str
     unit: timedelta
     only: tuple[str, str] | None = None  # a column and the one value that counts as an arrival
-    names: Mapping[str, str] = field(default_factory=dict)  # the trace's classes to the node's
 
 
 PRESETS: Mapping[str, Columns] = {
@@ -120,20 +119,23 @@
     tenant, kind = cell(columns.tenant), cell(columns.kind)
     if not tenant or not kind:
         raise BadLine("no tenant" if not tenant else "no class")
-    tally.add(tenant, columns.names.get(kind, kind), seconds)
+    tally.add(tenant, kind, seconds)
 
 
-def settings(tally: Tally, most: int, headroom: float) -> Iterator[str]:
-    """The lines of an operator's file: tenants, and classes by their rank in the trace."""
-    top = tally.tenants.most_common(most)
-    rest = tally.good - sum(number for _, number in top)
+def settings(tally: Tally, most: int, headroom: float, names: Mapping[str, str]) -> Iterator[str]:
+    """The lines of an operator's file: tenants, and classes by their rank in the trace, renamed."""
+    top = Counter(dict(tally.tenants.most_common(most)))
+    top[OTHERS] += tally.good - top.total()
     yield f"# {tally.good} arrivals in {tally.seconds:.0f} s; {tally.bad} lines left out"
-    for name, number in [*top, *([(OTHERS, rest)] if rest else [])]:
+    for name, number in (+top).items():
         yield f"\n[tenants.{quoted(name)}]"
         yield f"share = {number / tally.good:.6f}"
         yield f"allowance_per_s = {headroom * number / tally.seconds:.6f}"
-    for rank, kind in enumerate(sorted(tally.kinds, key=_order), 1):
-        yield f"\n[classes.{quoted(kind)}]  # {tally.kinds[kind] / tally.good:.6f} of the arrivals"
+    ranked = sorted(tally.kinds, key=_order)
+    worths = {names.get(kind, kind): rank for rank, kind in enumerate(ranked, 1)}  # of several the highest
+    for name, rank in worths.items():
+        number = sum(tally.kinds[kind] for kind in ranked if names.get(kind, kind) == name)
+        yield f"\n[classes.{quoted(name)}]  # {number / tally.good:.6f} of the arrivals"
         yield f"worth = {rank:.1f}"
 
 
@@ -184,7 +186,7 @@
         parser.error("either --preset, or --tenant, --kind and --time")
     if not all("=" in name for name in options.names):
         parser.error("--as takes KIND=CLASS")
-    columns = replace(columns, names=dict(name.split("=", 1) for name in options.names))
+    names = dict(name.split("=", 1) for name in options.names)
     if options.most < 1 or not 0 < options.headroom < math.inf:
         parser.error("--most must be at least 1 and --headroom above 0")
     try:
@@ -201,7 +203,7 @@
     if not tally.good:
         print(f"marlstep.trace: {options.file}: no arrival in it", file=sys.stderr)
         return 2
-    print("\n".join(settings(tally, options.most, options.headroom)))
+    print("\n".join(settings(tally, options.most, options.headroom, names)))
     return 0
 
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -154,17 +154,36 @@
 def test_a_trace_gives_an_operators_file_and_its_bad_lines_are_named() -> None:
     complaints = io.StringIO()
     names = {"0": "schedule-save", "1": "setpoint-cmd"}
-    columns = trace.Columns("user", "queue", "time", SECOND, names=names)
+    columns = trace.Columns("user", "queue", "time", SECOND)
     tally = trace.count(io.StringIO(TRACE), columns, True, complaints)
     named = [line.split(":")[0] for line in complaints.getvalue().splitlines()]
     assert named == ["line 4", "line 5", "line 6"]
-    operator = tomllib.loads("\n".join(trace.settings(tally, 1, 2.0)))
+    operator = tomllib.loads("\n".join(trace.settings(tally, 1, 2.0, names)))
     assert operator["tenants"]["a"] == {"share": 0.666667, "allowance_per_s": 1.0}
     settings = check(raw_config(), operator).settings
     assert {tenant.name for tenant in settings.tenants} == {"a", "others"}
     assert [kind.worth for kind in settings.classes] == [1.0, 1.0, 2.0]
 
 
+def test_classes_keep_the_rank_they_have_in_the_trace_whatever_they_are_renamed_to() -> None:
+    # Guards against ranking by the new names, and against a table that comes twice when two share a name.
+    tally = trace.Tally()
+    for kind in ("0", "2", "10", "1"):
+        tally.add("a", kind, 0.0)
+    names = {"0": "z", "10": "a", "1": "m", "2": "m"}
+    operator = tomllib.loads("\n".join(trace.settings(tally, 5, 1.0, names)))
+    assert operator["classes"] == {"z": {"worth": 1.0}, "m": {"worth": 3.0}, "a": {"worth": 4.0}}
+
+
+def test_a_tenant_that_is_called_others_is_listed_once() -> None:
+    tally = trace.Tally()
+    for tenant in ("others", "a", "a", "b"):
+        tally.add(tenant, "0", 0.0)
+    for most in (1, 2, 3):
+        tenants = tomllib.loads("\n".join(trace.settings(tally, most, 1.0, {})))["tenants"]
+        assert sum(tenant["share"] for tenant in tenants.values()) == 1.0
+
+
 def test_submissions_of_a_google_trace_are_counted_and_other_events_are_not(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
@@ -182,4 +201,4 @@
     columns = trace.Columns("0", "1", "2", SECOND)
     tally = trace.count(io.StringIO(text, newline=""), columns, False, io.StringIO())
     if tally.good:
-        tomllib.loads("\n".join(trace.settings(tally, 5, 1.0)))
+        tomllib.loads("\n".join(trace.settings(tally, 5, 1.0, {})))
