Test the core's rules under random orders of events, and three paths it had left open

Seen: of five deliberate faults put into engine.py the tests caught two. Added: a random play of requests, ends, calls, clients that go, time and drain, with one answer each and nothing twice; a run that skipped its call; a halt that finds the run at its call; a paused request that is given up. Now all five are caught. No fault in the program found.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -188,3 +188,39 @@
     assert desk.backend.told == [("start", "r2")]
     desk.clock.advance(2700)
     assert desk.verdicts(1) == [Verdict.EXPIRED]
+
+
+def test_a_run_that_goes_on_without_its_call_can_be_paused() -> None:
+    desk = Desk(cores=1)
+    desk.submit(1)
+    desk.core.call_needed("r1", b"ask")
+    for _ in range(3):
+        desk.clock.advance(200)
+        desk.core.call_ended("r1", Outcome.FULL)
+        desk.clock.settle()
+    assert desk.backend.told[-1] == ("skip", "r1")
+    desk.submit(2, "setpoint-cmd")
+    assert ("pause", "r1") in desk.backend.told
+
+
+def test_a_halt_that_finds_the_run_at_its_call_has_not_paused_it() -> None:
+    # Guards against an end at the call being taken for the pause that was asked for before: it is final.
+    desk = Desk(cores=1)
+    desk.submit(1)
+    desk.submit(2, "setpoint-cmd")
+    desk.core.call_needed("r1", b"ask")
+    desk.end(1, Outcome.CANCELLED)
+    assert desk.verdicts(1) == [Verdict.FAILED]
+
+
+def test_a_paused_request_that_is_given_up_gives_its_slot_back() -> None:
+    desk = Desk(cores=1)
+    desk.submit(1)
+    desk.submit(2, "setpoint-cmd")
+    desk.end(1, Outcome.CANCELLED)
+    desk.clock.advance(1500)
+    desk.submit(3, "setpoint-cmd")
+    desk.end(2)
+    desk.clock.advance(1200)
+    assert desk.verdicts(1) == [Verdict.EXPIRED]
+    assert [request.id for request in desk.core._requests] == ["r3"]
--- /dev/null
+++ b/tests/test_core_properties.py
@@ -0,0 +1,98 @@
+"""The rules hold for the core whatever its fronts, backends and stores do, in any order."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marlstep.core.engine import Refused
+from marlstep.core.model import Stage, Verdict
+from marlstep.units import SECOND
+from petrelcart.interface import Outcome
+from tests.node import Desk
+
+KINDS = ("temp-history", "schedule-save", "setpoint-cmd")
+STEPS = st.one_of(
+    st.tuples(st.just("submit"), st.sampled_from(KINDS), st.sampled_from([None, "k1", "k2"])),
+    st.tuples(st.just("end"), st.integers(0, 9), st.sampled_from(list(Outcome))),
+    st.tuples(st.just("needs"), st.integers(0, 9), st.none()),
+    st.tuples(st.just("called"), st.integers(0, 9), st.sampled_from(list(Outcome))),
+    st.tuples(st.just("gone"), st.integers(0, 9), st.none()),
+    st.tuples(st.just("advance"), st.sampled_from([1, 50, 400, 2000]), st.none()),
+    st.tuples(st.just("drain"), st.none(), st.none()),
+)
+
+
+class Play:
+    def __init__(self) -> None:
+        self.desk = Desk(cores=1)
+        self.read = dict[str, int]()  # id to handle
+        self.gone = set[str]()
+        self.grace_over_at = self.desk.clock.now() + 1000 * SECOND
+        self.late = set[str]()
+
+    def step(self, what: str, choice: object, more: object) -> None:
+        desk, core = self.desk, self.desk.core
+        live = [
+            request for request in core._requests if request.started and request.stage is not Stage.PAUSED
+        ]
+        match what, choice:
+            case "submit", str(kind):
+                number = len(self.read) + 1
+                try:
+                    self.read[f"r{number}"] = desk.submit(number, kind, once=more)
+                except Refused:
+                    self.read[f"r{number}"] = -1
+                    return
+                if desk.clock.now() > self.grace_over_at:
+                    self.late.add(f"r{number}")
+            case "end", int(index) if live and isinstance(more, Outcome):
+                core.run_ended(live[index % len(live)].id, more, SECOND, b"result")
+            case "needs", int(index) if live:
+                request = live[index % len(live)]
+                if request.stage is Stage.RUNNING:
+                    core.call_needed(request.id, b"ask")
+            case "called", int(index) if live and isinstance(more, Outcome):
+                core.call_ended(live[index % len(live)].id, more, b"told")
+            case "gone", int(index) if self.read:
+                id = list(self.read)[index % len(self.read)]
+                if self.read[id] >= 0 and not desk.answers.get(int(id[1:])):
+                    self.gone.add(id)
+                core.client_gone(self.read[id]) if self.read[id] >= 0 else None
+            case "advance", int(ms):
+                desk.clock.advance(ms)
+            case "drain", _ if not core.draining:
+                core.drain(desk.clock.now() + 3.2 * SECOND)
+                self.grace_over_at = desk.clock.now() + 2.5 * SECOND
+        desk.clock.settle()
+
+    def finish(self) -> None:
+        """The backends end all that runs, after all is due."""
+        self.desk.clock.advance(10_000)
+        for request in self.desk.core._requests:
+            assert request.stage is not Stage.PAUSED  # of it no backend would ever speak again
+            self.desk.core.run_ended(request.id, Outcome.CANCELLED, SECOND)
+        self.desk.clock.advance(10_000)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None, database=None)
+@given(st.lists(STEPS, max_size=40))
+def test_each_request_has_one_answer_and_work_with_effect_runs_once(
+    steps: list[tuple[str, object, object]],
+) -> None:
+    play = Play()
+    for step in steps:
+        play.step(*step)
+    play.finish()
+    core, answers = play.desk.core, play.desk.answers
+    starts = Counter(id for what, id in play.desk.backend.told if what == "start")
+    for id, handle in play.read.items():
+        given = answers.get(int(id[1:]), [])
+        assert len(given) == (0 if id in play.gone or handle < 0 else 1), id
+        assert starts[id] <= 1
+        assert not (id in play.late and starts[id]), id
+        if given and given[0].verdict is Verdict.REFUSED:
+            assert 0 * SECOND <= given[0].after <= SECOND
+    assert core.unanswered == core.in_hand == 0
