--- a/marlstep/core/engine.py
+++ b/marlstep/core/engine.py
@@ -54,7 +54,7 @@
 GAUGES_FRESH = 100 * MILLISECOND  # readings this young serve a timer as they are
 GAUGES_WAIT = 20 * MILLISECOND  # a timer waits no longer for new ones
 STOP_MARGIN = 150 * MILLISECOND  # before the process is stopped, all that is left is answered
-MOST_REQUESTS = 20_000  # in hand at once; far beyond what memory in the settings lets the module hold
+MOST_REQUESTS = 8_192  # in hand at once, about 40 MB; far beyond what the module's hold takes
 
 
 class Refused(Exception):
