Take a failed connect for proof only while the packet has not begun to leave

Seen on reading: upstream.py sends the packet in connection_made, before the connecting call returns. An error raised by that call afterwards would have been answered 503 as "never ran", and the same setpoint let in again. Checked: a refused connect still gives 503; not seen on sockets, as the loop raises only before the connection stands. The order is the loop's affair, so the attempt now keeps whether it has sent, and the test forces the late error.

--- a/marlstep/upstream.py
+++ b/marlstep/upstream.py
@@ -30,6 +30,7 @@
     def __init__(self, upstream: Upstream, request: Request, since: datetime) -> None:
         super().__init__(RING_SIZE)
         self.id, self.since = request.id, since
+        self.sent = False  # the packet has begun to leave
         self.task: asyncio.Task[None] | None = None
         self._upstream = upstream
         self._packet = request.offer.body
@@ -39,6 +40,7 @@
 
     def made(self) -> None:
         if self._upstream.waits_for(self):
+            self.sent = True
             self.send(self._packet)
         else:  # given up while the connection was on its way: it must not run now
             self.abort()
@@ -103,7 +105,12 @@
         try:
             await asyncio.get_running_loop().create_connection(lambda: attempt, *self._address)
         except OSError as fault:
-            self.ended(attempt, Outcome.CONNECT_FAILED, b"", f"not reached: {fault}")
+            self.not_opened(attempt, fault)
+
+    def not_opened(self, attempt: _Attempt, fault: OSError) -> None:
+        """It proves that nothing ran only where the packet had not begun to leave."""
+        outcome = Outcome.RESET if attempt.sent else Outcome.CONNECT_FAILED
+        self.ended(attempt, outcome, b"", f"not reached: {fault}")
 
     def pause(self, request: Request) -> None:
         """A server behind a socket can't be paused: the run goes on, unless nobody waits for it."""
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -150,6 +150,21 @@
     on(run)
 
 
+def test_an_error_of_the_connect_proves_nothing_once_the_packet_has_begun_to_leave() -> None:
+    # Guards against taking a late error of the connecting call for proof, and letting a setpoint come again.
+    async def run(site: Site) -> None:
+        waiting = asyncio.ensure_future(site.over_uwsgi("setpoint-cmd", "b7", "/hang"))
+        await site.uwsgi.reached.wait()
+        assert site.node.upstream is not None
+        [attempt] = site.node.upstream._attempts.values()
+        site.node.upstream.not_opened(attempt, ConnectionResetError())
+        assert (await waiting).startswith(b"HTTP/1.1 502 ")
+        assert (await site.over_uwsgi("setpoint-cmd", "b7")).startswith(b"HTTP/1.1 502 ")
+        assert site.uwsgi.runs == {"b7": 1}
+
+    on(run)
+
+
 def test_a_deadline_in_a_run_is_504_and_the_upstream_is_let_go() -> None:
     async def run(site: Site) -> None:
         waiting = asyncio.ensure_future(site.over_uwsgi("setpoint-cmd", "b7", "/hang"))
