Cut off a peer that takes no answers for the idle time

Seen on reading: a connection whose peer reads nothing kept up to 132 KiB of answers for as long as it stood; on 960 such connections 124 MiB, beside which a node of 192 MB might fall over. Ruled out: reading on from such a peer, which stops. At fault: base.py _at_rest let it rest like any other.

--- a/marlstep/fronts/base.py
+++ b/marlstep/fronts/base.py
@@ -60,7 +60,11 @@
 
     def _at_rest(self) -> None:
         self._idle = None
-        self.idle()
+        if self.clogged:  # for all this time the peer took nothing of what it was sent
+            log.warning("connection cut off: its peer takes no answers")
+            self.abort()
+        else:
+            self.idle()
 
     # What a front gives.
 
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -179,3 +179,17 @@
     platform.front.stop_accepting()
     platform.desk.clock.advance(5_000)
     assert stalled.closed and deaf.closed and len(platform.front.connections) == 0
+
+
+def test_a_peer_that_takes_no_answers_for_the_idle_time_is_cut_off() -> None:
+    # Guards against answers that pile up, over many connections, until the node is out of memory.
+    platform = Platform(cores=6)
+    wire = platform.connect()
+    wire.stream.pause_writing()
+    platform.feed(wire, b"".join(exec_frame(tag) for tag in range(1, 7)))
+    for tag in range(1, 7):
+        platform.end(tag, b"x" * 4096)
+    platform.desk.clock.advance(14_000)
+    assert not wire.closed
+    platform.desk.clock.advance(1_001)
+    assert wire.closed and len(platform.front.connections) == 0
