Let the patience for calls follow what they take now; ask again for missing notices

A call that is given up costs that tier its work all the same, so patience must grow with what calls take (policy.py, _make_calls).

--- a/marlstep/kernel.py
+++ b/marlstep/kernel.py
@@ -89,6 +89,7 @@
         self._link: KernelLink | None = None
         self._synced = False
         self._last = 0  # the number of the last notice that was read
+        self._asked_again = -1  # the one after which some were missing
         self._unconfirmed: dict[str, list[bytes]] = {}
         self._call_numbers: dict[str, int] = {}  # the notice by which a run asked for its call
         self._retry = RETRY_FIRST
@@ -195,6 +196,9 @@
         if number <= self._last:
             return False
         if number > self._last + 1:
+            if self._asked_again != self._last:  # a new link repeats it, if the kernel has it still
+                self._asked_again = self._last
+                raise LineFault(f"notice {number} after {self._last}")
             log.error("kernel notices %d to %d were never read", self._last + 1, number - 1)
         self._last = number
         return True
--- a/petrelcart/policy.py
+++ b/petrelcart/policy.py
@@ -23,7 +23,7 @@
 BEATS_PER_AIM = 40  # timer beats in the shortest aim: due times and limits need no finer clock
 DRAIN_BEATS = 8  # before the process is stopped all is answered: room for ticks and a stall
 CALL_SLOW = 3.0  # times their usual time: calls that take longer are left out where that may be
-CALL_PATIENCE = 6.0  # times their usual time: a call that may be made again is given up then, and made again
+CALL_PATIENCE = 5.0  # times what calls take: one that may be made again is given up then, and made again
 CALL_SHARE = 0.5  # of the told mean of calls in hand: a full reserve and its refill together stay under it
 CALL_TRIES = 3  # calls for one step of a request: more would be a retry storm of our own
 CALL_WAITS = 6  # of those that never ran, where the call is needed: each waits twice as long as the last
@@ -36,7 +36,7 @@
 SECOND, NEVER = 1_000_000, 1 << 62
 
 
-class State(enum.Enum):
+class State(enum.IntEnum):  # by number: dictionaries of them are looked up all the time
     HELD = enum.auto()
     RUNNING = enum.auto()
     STOPPING = enum.auto()  # told to halt, not yet seen to have stopped
@@ -47,7 +47,8 @@
     OVER = enum.auto()
 
 
-ALIVE = (State.RUNNING, State.STOPPING, State.AT_CALL, State.CALLING, State.PAUSED, State.HELD)
+IN_RUN = (State.RUNNING, State.STOPPING, State.AT_CALL, State.CALLING)
+ALIVE = (*IN_RUN, State.PAUSED, State.HELD)
 
 
 @dataclass(slots=True)
@@ -318,8 +319,8 @@
             room = not self.call_rate or self.call_room >= min(self.call_most, usual + told.linger_us)
             if entry.kind.effect is Effect.SAFE and entry.calls - entry.unmade + 1 < CALL_TRIES:
                 # A reply that does not come may come to another call; the last one is waited for.
-                patience = int(CALL_PATIENCE * self.call_usual) << entry.calls - entry.unmade
-                until = min(until, self.now + patience)
+                patience = int(CALL_PATIENCE * max(self.call_usual, self.call_mean))
+                until = min(until, self.now + (patience << entry.calls - entry.unmade))
             if room and len(calling) + 1 <= self._crowd() and entry.call_from <= self.now and entry.owed:
                 if self.call_rate:
                     until = min(until, self.now + max(usual, int(self.call_room / 2)))
@@ -332,7 +333,12 @@
     def _fill(self) -> None:
         """Start what comes first while the running set has room; what outranks a run takes its place."""
         running = self.by_state[State.RUNNING]
+        needs = {name: NEED * mean for name, mean in self.means.items()}
         for entry in self._all(*ALIVE):
+            ready = self.now if entry.ran else self.now + needs[entry.kind.name]
+            if entry.owed and ready <= entry.aim and ready <= entry.due:  # as in `_worth`, for the many
+                entry.worth = entry.kind.worth * entry.share
+                continue
             entry.worth = self._worth(entry)
             if entry.worth <= 0 and self.now > entry.aim:  # no hope is left: its caller hears so at once
                 self._answer(entry)
@@ -385,8 +391,8 @@
         fresh = entry.state is State.HELD
         grows = entry.kb * (self.settings.run_factor - 1) * fresh
         full = self.memory + grows > MEMORY_SHARE * self.settings.memory_kb
-        in_run = self._all(State.RUNNING, State.STOPPING, State.AT_CALL, State.CALLING)
-        crowded = len(in_run) + 1 > CROWD_SHARE * self._crowd()
+        in_run = sum(len(self.by_state[state]) for state in IN_RUN)
+        crowded = in_run + 1 > CROWD_SHARE * self._crowd()
         unkept = entry.kind.effect is Effect.KEYED and not entry.kept_until
         twice = entry.kind.effect is not Effect.SAFE and entry.ran
         if full or crowded or self._late_for_drain(entry) or (fresh and (unkept or twice)):
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -135,3 +135,14 @@
     assert old.closed and new.take() == b"OPEN 1\r\n"
     new.feed(b"BOOTED hot 9\r\nINFO sync 0 0\r\n")
     assert b"SCHED a" in new.written and not rig.dial.waiting
+
+
+def test_a_notice_that_is_missing_is_asked_for_on_a_new_link_but_not_for_ever() -> None:
+    rig = Rig()
+    wire = rig.connect()
+    wire.feed(b"BOOTED hot 1\r\nREAP 1 a complete 1 0\r\n\r\nREAP 3 c complete 1 0\r\n\r\n")
+    assert wire.closed
+    again = rig.connect()
+    assert again.take() == b"OPEN 1\r\n"
+    again.feed(b"BOOTED hot 1\r\nREAP 3 c complete 1 0\r\n\r\n")
+    assert not again.closed and [one[1] for one in rig.notes.told] == ["a", "c"]
