Read whole requests in one go, and keep idle database connections in use

At fault: resp_wire.py _next (eleven looks into the ring a request); ring.py line (copied before it searched); db.py _serve (the first of the queue was asked for all, so calls that may use an idle connection opened one while a setpoint's was on its way; at the bound every idle one was dropped in one loop). Ruled out by a probe that logged each open and close: the other side closing them; now only setpoint calls open new ones.

--- a/marlstep/db.py
+++ b/marlstep/db.py
@@ -34,6 +34,7 @@
 BODY_LIMIT = RING_SIZE - LINE_LIMIT  # results hold 4 KiB at the most
 REST = 2 * SECOND  # a connection that lies idle for longer is closed; the other side does after 10 s
 LATE = 50 * MILLISECOND  # past its time a reply may still be on its way for so long
+MOST_RESTING = 16  # each setpoint's call leaves one more
 MOST_LINKS = 40  # far over the calls that the module has in hand at once
 
 
@@ -123,8 +124,11 @@
         call = _Call(request.id, request.call_body, until, request.kind.effect is not Effect.SAFE)
         call.deadline = self._timeline.at(until + LATE, lambda: self._timed_out(call))
         self._calls[call.id] = call
-        self._queue.append(call)
-        self._serve()
+        if (link := self._rested(call)) is not None:
+            self._send(call, link)
+        else:
+            self._queue.append(call)
+            self._serve()
 
     def give_up(self, request: Request) -> None:
         if (call := self._calls.get(request.id)) is not None:
@@ -145,9 +149,9 @@
                 self._send(self._queue.popleft(), link)
             elif len(self._links) + len(self._opening) < MOST_LINKS:
                 self._open(self._address)
-            elif self._resting:
-                self._retire(self._resting[0])
             else:
+                if self._resting:  # when it is gone, this is looked at again
+                    self._retire(self._resting[0])
                 return
 
     def _open(self, address: Address) -> None:
@@ -195,6 +199,8 @@
         if link.address != self._address:
             self._retire(link)
             return
+        if len(self._resting) >= MOST_RESTING:
+            self._retire(self._resting[0])
         self._resting.append(link)
         link.idle = self._timeline.at(self._timeline.now() + REST, lambda: self._retire(link))
         if self._queue:
--- a/marlstep/fronts/resp_wire.py
+++ b/marlstep/fronts/resp_wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 
 from marlstep.ring import LineTooLong, Ring
@@ -9,6 +10,11 @@
 HEAD_LIMIT = 16  # of the lines that hold a count or a length
 LIMITS = (16, 20, 128, 1024, 2048)  # of the words: verb, tag, class, fields, body
 VERBS = (b"EXEC", b"ALIVE")
+# A request as front ends send it, up to its body. What does not match is read word by word.
+REQUEST = re.compile(
+    rb"\*5\r\n\$4\r\nEXEC\r\n\$(\d{1,2})\r\n(\d{1,20})\r\n"
+    rb"\$(\d{1,3})\r\n([^\r]{0,128})\r\n\$(\d{1,4})\r\n([^\r]{0,1024})\r\n\$(\d{1,4})\r\n"
+)
 
 
 class Malformed(ValueError):
@@ -39,6 +45,8 @@
 
     def next(self, ring: Ring) -> list[bytes] | None:
         """The next whole frame, or None until more is read."""
+        if self._count < 0 and ring.used and (words := _whole_request(ring)) is not None:
+            return words
         try:
             return self._next(ring)
         except (ValueError, LineTooLong) as fault:
@@ -81,6 +89,25 @@
         return int(line[1:])
 
 
+def _whole_request(ring: Ring) -> list[bytes] | None:
+    """The short way for nearly all that comes: a request that lies whole in the ring."""
+    data = ring.peek(ring.used)
+    found = REQUEST.match(data)
+    if found is None:
+        return None
+    tag_size, tag, kind_size, kind, fields_size, fields, size = found.groups()
+    start = found.end()
+    end = start + int(size)
+    if (
+        (int(tag_size), int(kind_size), int(fields_size)) != (len(tag), len(kind), len(fields))
+        or int(size) > LIMITS[-1]
+        or data[end : end + 2] != b"\r\n"
+    ):
+        return None
+    ring.skip(end + 2)
+    return [VERBS[0], tag, kind, fields, data[start:end]]
+
+
 def write_frame(*words: bytes) -> bytes:
     parts = [b"*%d\r\n" % len(words)]
     parts += [b"$%d\r\n%b\r\n" % (len(word), word) for word in words]
--- a/marlstep/ring.py
+++ b/marlstep/ring.py
@@ -11,13 +11,14 @@
 
 
 class Ring:
-    __slots__ = ("_start", "_view", "size", "used")
+    __slots__ = ("_data", "_start", "_view", "size", "used")
 
     def __init__(self, size: int) -> None:
         self.size = size
         self.used = 0
         self._start = 0
-        self._view = memoryview(b"")
+        self._data = bytearray()
+        self._view = memoryview(self._data)
 
     @property
     def free(self) -> int:
@@ -26,7 +27,8 @@
     def space(self) -> memoryview:
         """The free bytes that lie in one piece, to be written in place; then call `wrote`."""
         if not self._view:
-            self._view = memoryview(bytearray(self.size))
+            self._data = bytearray(self.size)
+            self._view = memoryview(self._data)
         end = (self._start + self.used) % self.size
         return self._view[end : self._start] if end < self._start else self._view[end : end + self._run(end)]
 
@@ -63,17 +65,29 @@
         self._start = (self._start + count) % self.size if self.used else 0
 
     def take(self, count: int) -> bytes:
-        data = self.peek(count)
-        self.skip(len(data))
-        return data
+        if count >= self.used or self._start + count > self.size:
+            data = self.peek(count)
+            self.skip(len(data))
+            return data
+        start, self._start = self._start, (self._start + count) % self.size
+        self.used -= count
+        return bytes(self._view[start : start + count])
 
     def line(self, limit: int) -> bytes | None:
         """The next line without its CR LF; None while it is not whole, LineTooLong past the limit."""
-        head = self.peek(limit + 2)
-        end = head.find(b"\r\n")
-        if end >= 0:
-            self.skip(end + 2)
-            return head[:end]
-        if len(head) >= limit + 2:
+        if self._start + self.used <= self.size:  # it lies in one piece: looked at where it is
+            most = min(self.used, limit + 2)
+            end = self._data.find(b"\r\n", self._start, self._start + most)
+            if end >= 0:
+                line = bytes(self._view[self._start : end])
+                self.skip(len(line) + 2)
+                return line
+        else:
+            head = self.peek(limit + 2)
+            most, end = len(head), head.find(b"\r\n")
+            if end >= 0:
+                self.skip(end + 2)
+                return head[:end]
+        if most >= limit + 2:
             raise LineTooLong(f"no line end within {limit} bytes")
         return None
--- a/marlstep/units.py
+++ b/marlstep/units.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import time
 from datetime import UTC, datetime, timedelta
 
 EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
@@ -43,5 +42,5 @@
         self._last = EPOCH
 
     def now(self) -> datetime:
-        self._last = max(self._last, instant(time.time_ns() // 1000))
+        self._last = max(self._last, datetime.now(UTC))
         return self._last
--- a/tests/test_db.py
+++ b/tests/test_db.py
@@ -7,7 +7,7 @@
 import pytest
 
 from marlstep.core.model import Request
-from marlstep.db import MOST_LINKS, Database
+from marlstep.db import MOST_LINKS, MOST_RESTING, Database
 from marlstep.units import SECOND
 from petrelcart.interface import Outcome
 from tests.node import Desk, HandClock, HandDial, Notes, Wire
@@ -144,6 +144,16 @@
     assert fresh is not idle and not idle.written
 
 
+def test_a_call_that_may_use_an_idle_connection_does_so_while_others_wait_for_new_ones() -> None:
+    # Guards against a connection opened for nearly every call: 3508 for 4066 calls on the fast day.
+    rig = Rig()
+    idle = rig.open()
+    idle.feed(ROWS % b"r1")
+    rig.call(2, "setpoint-cmd")
+    rig.call(3)
+    assert idle.take().startswith(b"Q r3 ") and len(rig.dial.waiting) == 1
+
+
 def test_a_refused_connection_proves_that_the_call_that_waited_for_it_never_ran() -> None:
     rig = Rig()
     rig.call(1)
@@ -162,6 +172,17 @@
     assert wire.closed
 
 
+def test_of_the_connections_that_setpoints_leave_a_few_stay_for_other_calls() -> None:
+    # Guards against all idle ones being dropped at once when there were too many.
+    rig = Rig()
+    wires = [rig.open(number, "setpoint-cmd") for number in range(1, MOST_RESTING + 3)]
+    for number, wire in enumerate(wires, 1):
+        wire.feed(ROWS % b"r%d" % number)
+    assert [wire.closed for wire in wires] == [True] * 2 + [False] * MOST_RESTING
+    rig.call(50)
+    assert wires[-1].take() and not rig.dial.waiting
+
+
 def test_connections_are_bounded_and_the_calls_beyond_wait_for_one() -> None:
     rig = Rig()
     [request] = [rig.call()]
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -62,6 +62,34 @@
     assert read_all(FrameReader().next, pieces(stream, cuts)) == [list(words) for words in frames]
 
 
+@FIXED
+@given(WORDS, st.integers(0, 200), st.binary(min_size=1, max_size=2), st.integers(0, 40))
+def test_the_short_way_reads_what_the_long_one_does(
+    words: tuple[bytes, ...], at: int, noise: bytes, before: int
+) -> None:
+    # Guards against a request that is read otherwise when it comes in one piece than when it comes in many.
+    frame = write_frame(b"EXEC", *words[1:])
+    spoilt = frame[:at] + noise + frame[at + len(noise) :]
+    for stream in (frame, spoilt):
+        results = []
+        for parts in ([stream], pieces(stream, [1])):
+            ring, reader, found = Ring(700), FrameReader(), list[Any]()
+            ring.put(b"x" * before)
+            ring.skip(before - 1 if before else 0)
+            for number, part in enumerate(parts):
+                ring.put(part)
+                if number == 0 and before:
+                    ring.skip(1)
+                try:
+                    while (one := reader.next(ring)) is not None:
+                        found.append(one)
+                except Malformed as fault:
+                    found.append((str(fault), fault.tag))
+                    break
+            results.append(found)
+        assert results[0] == results[1]
+
+
 @FIXED
 @given(
     st.dictionaries(st.text("abcKEY_-"), st.text("abc\xe9 "), min_size=1, max_size=5),
