Log what passed every ten seconds, and keep one socket to the name service

With a line of counts a second (this change, set to 1 s): the node refused none; whenever a line stood for a moment the free value fell from no bound to 3.7 for each caller, and the front ends turned the rest away themselves.

Also: a socket to the name service that was on its way while the address changed twice could have stayed and gone on reporting (naming.py, connection_made took whichever came last); it is closed now, found by reading.

--- a/marlstep/__main__.py
+++ b/marlstep/__main__.py
@@ -7,6 +7,7 @@
 import logging
 import signal
 import sys
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 
@@ -22,7 +23,7 @@
 from marlstep.kernel import Kernel
 from marlstep.naming import Naming
 from marlstep.timeline import Timeline
-from marlstep.units import MILLISECOND, span
+from marlstep.units import MILLISECOND, SECOND, span
 from marlstep.upstream import Upstream
 
 log = logging.getLogger("marlstep")
@@ -31,6 +32,7 @@
 BASE_MEMORY = 20 << 20  # bytes that the program takes before the first request
 CONNECTION_MEMORY = 16 << 10  # bytes: its rings, its objects and what its transport holds
 REQUEST_MEMORY = 5 << 10  # bytes, with its body
+STATUS_EVERY = 10 * SECOND
 END_WATCH = 20 * MILLISECOND  # between looks at whether the drain is done
 END_MARGIN = 100 * MILLISECOND  # before the process is stopped, it ends by itself
 
@@ -84,6 +86,7 @@
         for front in self.fronts:
             self.core.add_front(front)
         self.core.on_grace_over = self._watch_end
+        self._counted: Counter[str] = Counter()
 
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
@@ -103,6 +106,21 @@
             log.info("administration on %s:%d", *self.config.admin.listen)
         self.kernel.open()
         self.naming.open()
+        self.timeline.at(self.timeline.now() + STATUS_EVERY, self._status)
+
+    def _status(self) -> None:
+        """One line on what passed since the last, to set against what the peers saw."""
+        core = self.core
+        passed = core.counts - self._counted
+        self._counted = core.counts.copy()
+        log.info(
+            "%s; in hand %d, free value %s, connections %d",
+            ", ".join(f"{what} {count}" for what, count in sorted(passed.items())) or "nothing read",
+            core.in_hand,
+            "-" if core.say is None else f"{core.say:.1f}",
+            sum(len(front.connections) for front in self.fronts),
+        )
+        self.timeline.at(self.timeline.now() + STATUS_EVERY, self._status)
 
     def leave(self) -> None:
         self.core.drain(self.timeline.now() + self.config.stop)
--- a/marlstep/naming.py
+++ b/marlstep/naming.py
@@ -18,7 +18,20 @@
 EVERY = 300 * MILLISECOND
 
 
-class Naming(asyncio.DatagramProtocol):
+class _Endpoint(asyncio.DatagramProtocol):
+    """The socket for one address."""
+
+    def __init__(self, naming: Naming, address: Address) -> None:
+        self._naming, self._address = naming, address
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._naming.opened(self._address, cast(asyncio.DatagramTransport, transport))
+
+    def error_received(self, exc: Exception) -> None:
+        """The name service is down. No entry lapses meanwhile; the next report is due soon anyway."""
+
+
+class Naming:
     def __init__(self, name: str, address: Address | None, timeline: Timeline) -> None:
         self._name, self._address, self._timeline = name, address, timeline
         self._transport: asyncio.DatagramTransport | None = None
@@ -33,7 +46,7 @@
     async def _open(self, address: Address) -> None:
         loop = asyncio.get_running_loop()
         try:
-            await loop.create_datagram_endpoint(lambda: self, remote_addr=address)
+            await loop.create_datagram_endpoint(lambda: _Endpoint(self, address), remote_addr=address)
         except OSError as fault:  # a node that is not listed still serves those who know it
             log.error("no reports to the name service: %s", fault)
 
@@ -44,22 +57,23 @@
             self._stop()
             self.open()
 
-    def _stop(self) -> None:
+    def _stop(self, opening: bool = True) -> None:
         """The one place where the socket is given back."""
         self._timeline.cancel(self._next)
-        if self._opening is not None:
+        if opening and self._opening is not None:
             self._opening.cancel()
         if self._transport is not None:
             self._transport.close()
             self._transport = None
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.DatagramTransport, transport)
+    def opened(self, address: Address, transport: asyncio.DatagramTransport) -> None:
+        if self._left or address != self._address:  # it moved while the socket was on its way
+            transport.close()
+            return
+        self._stop(opening=False)
+        self._transport = transport
         self._report()
 
-    def error_received(self, exc: Exception) -> None:
-        """The name service is down. No entry lapses meanwhile; the next report is due in a second anyway."""
-
     def _report(self) -> None:
         self._send("yes")
         self._next = self._timeline.at(self._timeline.now() + EVERY, self._report)
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -181,6 +181,18 @@
     on(run)
 
 
+def test_a_line_in_the_log_tells_what_passed_since_the_last(caplog: pytest.LogCaptureFixture) -> None:
+    # Guards against a node whose belief of its load can't be set against what its peers saw.
+    async def run(site: Site) -> None:
+        for number in (1, 2):
+            await site.over_resp("schedule-save", number)
+            site.push(10 * SECOND)
+
+    with caplog.at_level("INFO"):
+        on(run)
+    assert caplog.text.count("done 1, read 1, runs 1; in hand 0, free value ") == 2
+
+
 def test_the_notice_to_leave_ends_the_node_with_all_answered() -> None:
     async def run(site: Site) -> None:
         waiting = asyncio.ensure_future(site.over_uwsgi("temp-history", "h1", "/hang"))
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -8,7 +8,7 @@
 import signal
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import pytest
 import uvloop
@@ -16,10 +16,10 @@
 from marlstep.__main__ import Node
 from marlstep.config import check, load, renewed
 from marlstep.eventloop import LoopWaker
-from marlstep.naming import EVERY
+from marlstep.naming import EVERY, Naming
 from marlstep.timeline import Timeline
 from marlstep.units import MILLISECOND
-from tests.node import raw_config
+from tests.node import HandClock, raw_config
 from tests.stand_ins import DatabaseStandIn, KernelStandIn
 from tests.test_loopback import over_resp
 
@@ -55,6 +55,36 @@
     assert 0.25**in_a_row < 1e-5
 
 
+class Socket:
+    def __init__(self) -> None:
+        self.sent: list[bytes] = []
+        self.closed = False
+
+    def sendto(self, data: bytes) -> None:
+        self.sent.append(data)
+
+    def close(self) -> None:
+        self.closed = True
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+
+def test_a_socket_that_comes_after_the_address_has_changed_is_closed_and_one_reports() -> None:
+    # Guards against reports to an old address, and against two sockets that report side by side.
+    clock, here, there = HandClock(), ("127.0.0.1", 1), ("127.0.0.1", 2)
+    naming = Naming("n1", here, clock.timeline)
+    late, first, second = Socket(), Socket(), Socket()
+    for address, socket in ((there, late), (here, first), (here, second)):
+        naming.opened(address, cast(asyncio.DatagramTransport, socket))
+    clock.advance(1_000)
+    assert late.closed and first.closed and not late.sent and len(first.sent) == 1
+    assert second.sent == [b"renew n1 yes"] * 4
+    naming.leave()
+    clock.advance(1_000)
+    assert second.closed and second.sent[4:] == [b"renew n1 no"]
+
+
 def test_on_sighup_all_that_is_new_goes_to_the_new_addresses_and_a_faulty_file_changes_nothing(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
