--- a/marlstep/config.py
+++ b/marlstep/config.py
@@ -103,6 +103,7 @@
     limits = table(raw, "limits", "limits", {})
     told = table(raw, "settings", "settings")
     settings = _hosted(_settings(told), operator)
+    memory = whole(limits, "memory_mb", "limits.memory_mb", LEAST_MEMORY_MB, 1 << 20, 192) << 20
     return Config(
         name=word(raw, "name", "name"),
         listen=address(raw, "listen", "listen"),
@@ -112,11 +113,11 @@
         seed=_seed(raw.get("seed", "0")),
         stop=whole(raw, "stop_ms", "stop_ms", 1, 600_000, 3_000) * MILLISECOND,
         sockets=whole(limits, "sockets", "limits.sockets", 64, 1 << 20, 1024),
-        memory=whole(limits, "memory_mb", "limits.memory_mb", LEAST_MEMORY_MB, 1 << 20, 192) << 20,
+        memory=memory,
         cores=number(limits, "cores", "limits.cores", 0.01, 1024, 1.0),
         settings=settings,
         gauges=_gauges(told),
-        uwsgi=_uwsgi(operator, {kind.name for kind in settings.classes}),
+        uwsgi=_uwsgi(operator, {kind.name for kind in settings.classes}, memory // 2),
         admin=_admin(operator),
     )
 
@@ -184,7 +185,7 @@
 LEAST_TOKEN = 16
 
 
-def _uwsgi(operator: Table, kinds: set[str]) -> UwsgiConfig | None:
+def _uwsgi(operator: Table, kinds: set[str], most_held: int) -> UwsgiConfig | None:
     if "uwsgi" not in operator:
         return None
     raw = table(operator, "uwsgi", "uwsgi")
@@ -222,15 +223,14 @@
         connections=whole(raw, "max_connections", "uwsgi.max_connections", 1, 1 << 16, 256),
         read_timeout=whole(raw, "read_timeout_ms", "uwsgi.read_timeout_ms", 10, 600_000, 2_000) * MILLISECOND,
     )
-    if sizes.connections * (sizes.body_limit + sizes.response_limit) > MOST_HELD:
+    if sizes.connections * (sizes.body_limit + sizes.response_limit) > most_held:
         raise ConfigError(
             "uwsgi.max_connections times uwsgi.max_body and uwsgi.max_response together "
-            f"must stay within {MOST_HELD >> 20} MiB"
+            f"must stay within {most_held >> 20} MiB, half of limits.memory_mb"
         )
     return sizes
 
 
-MOST_HELD = 96 << 20  # bytes of bodies and responses
 UWSGI_KEYS = (
     "listen",
     "upstream",
