Split the packages by concern and start the command line, behaviour unchanged

Need: many subsystems will join, and sixteen modules lay side by side. net, platform, upstreams, admin, config, traces and cli are packages now, node.py holds the wiring, and __main__ goes straight to the node where there are no arguments. tests/test_layers.py keeps the direction of imports and what a plain node must not load.

--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,10 @@
 
 build: .venv/requirements-dev.txt
 
-.venv/requirements-dev.txt: requirements.txt requirements-dev.txt
+.venv/requirements-dev.txt: requirements.txt requirements-ops.txt requirements-dev.txt
 	test -x $(VENV)/python || $(PYTHON) -m venv .venv
 	$(VENV)/python -m pip -q install -r requirements-dev.txt
-	cp requirements.txt requirements-dev.txt .venv/
+	cp requirements.txt requirements-ops.txt requirements-dev.txt .venv/
 
 test: build
 	$(VENV)/python -m pytest -q
--- /dev/null
+++ b/marlstep/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API."""
--- /dev/null
+++ b/marlstep/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/marlstep/config/__init__.py
@@ -0,0 +1,9 @@
+"""The one place where configuration is read, checked and given its defaults.
+
+What is wrong raises ConfigError with a message that names the key.
+"""
+
+from marlstep.config.node import AdminConfig, Config, UwsgiConfig, check, load, renewed
+from marlstep.config.readers import ConfigError
+
+__all__ = ["AdminConfig", "Config", "ConfigError", "UwsgiConfig", "check", "load", "renewed"]
--- a/marlstep/config.py
+++ b/marlstep/config/node.py
@@ -1,7 +1,4 @@
-"""The one place where configuration is read, checked and given its defaults.
-
-What is wrong raises ConfigError with a message that names the key.
-"""
+"""The node's configuration: the platform's JSON and the operator's file."""
 
 from __future__ import annotations
 
@@ -9,28 +6,31 @@
 import json
 import os
 import tomllib
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, fields, replace
 from datetime import timedelta
 from pathlib import Path
 
+from marlstep.config.readers import (
+    Address,
+    ConfigError,
+    Table,
+    address,
+    known,
+    number,
+    read_file,
+    table,
+    whole,
+    word,
+)
 from marlstep.fronts.mapped import Mapped
 from marlstep.units import MILLISECOND
 from petrelcart.benchlink import read_settings
 from petrelcart.interface import Settings, TenantSettings
 
-Address = tuple[str, int]
-Table = Mapping[str, object]
-MISSING = object()
-
-
 LEAST_MEMORY_MB = 24  # the interpreter and the program alone take 16
 
 
-class ConfigError(Exception):
-    """What is wrong with the configuration, in one line that names the key."""
-
-
 @dataclass(slots=True, frozen=True)
 class Config:
     name: str
@@ -80,26 +80,14 @@
     path = environ.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG is not set: it names the configuration file")
-    raw = _file(path, "PROXY_CONFIG", json.loads)
+    raw = read_file(path, "PROXY_CONFIG", json.loads)
     named = {key: environ[variable] for key, variable in VARIABLES.items() if environ.get(variable)}
-    return check({**raw, **named}, _file(operator, "--operator", tomllib.loads) if operator else {})
-
-
-def _file(path: str, named_by: str, parse: Callable[[str], object]) -> Table:
-    try:
-        raw = parse(Path(path).read_text("utf-8"))
-    except OSError as fault:
-        raise ConfigError(f"{named_by}: {path}: {fault.strerror}") from fault
-    except ValueError as fault:
-        raise ConfigError(f"{named_by}: {path} can't be read: {fault}") from fault
-    if not isinstance(raw, dict):
-        raise ConfigError(f"{named_by}: {path} does not hold a table")
-    return raw
+    return check({**raw, **named}, read_file(operator, "--operator", tomllib.loads) if operator else {})
 
 
 def check(raw: Table, operator: Table | None = None) -> Config:
     operator = operator or {}
-    _known(operator, "", ("uwsgi", "admin", "tenants", "classes", "over_share_worth"))
+    known(operator, "", ("uwsgi", "admin", "tenants", "classes", "over_share_worth"))
     limits = table(raw, "limits", "limits", {})
     told = table(raw, "settings", "settings")
     settings = _hosted(_settings(told), operator)
@@ -149,7 +137,7 @@
         if name not in names:
             raise ConfigError(f"classes.{name} must be one of {', '.join(sorted(names))}")
         row = table(worths, name, f"classes.{name}")
-        _known(row, f"classes.{name}", ("worth",))
+        known(row, f"classes.{name}", ("worth",))
         worth = number(row, "worth", f"classes.{name}.worth", 0, 1e6)
         kinds = (replace(kind, worth=worth) if kind.name == name else kind for kind in settings.classes)
         settings = replace(settings, classes=tuple(kinds))
@@ -159,7 +147,7 @@
 def _tenant(rows: Table, name: str) -> TenantSettings:
     path = f"tenants.{name}"
     row = table(rows, name, path)
-    _known(row, path, ("share", "allowance_per_s"))
+    known(row, path, ("share", "allowance_per_s"))
     share = number(row, "share", f"{path}.share", 0, 1)
     return TenantSettings(name, share, number(row, "allowance_per_s", f"{path}.allowance_per_s", 0, 1e6))
 
@@ -168,7 +156,7 @@
     if "admin" not in operator:
         return None
     raw = table(operator, "admin", "admin")
-    _known(raw, "admin", ("listen", "token_file"))
+    known(raw, "admin", ("listen", "token_file"))
     listen = address(raw, "listen", "admin.listen")
     if not ipaddress.ip_address(listen[0]).is_loopback:
         raise ConfigError("admin.listen must be a loopback address")
@@ -189,9 +177,9 @@
     if "uwsgi" not in operator:
         return None
     raw = table(operator, "uwsgi", "uwsgi")
-    _known(raw, "uwsgi", UWSGI_KEYS)
+    known(raw, "uwsgi", UWSGI_KEYS)
     names = table(raw, "vars", "uwsgi.vars")
-    _known(names, "uwsgi.vars", ("class", "id", "retry", "cost", "tenant"))
+    known(names, "uwsgi.vars", ("class", "id", "retry", "cost", "tenant"))
     classes = table(raw, "classes", "uwsgi.classes", {})
 
     def kind(holder: Table, key: str, path: str) -> str:
@@ -245,12 +233,6 @@
 )
 
 
-def _known(raw: Table, path: str, keys: tuple[str, ...]) -> None:
-    for key in raw:
-        if key not in keys:
-            raise ConfigError(f"{path}.{key} is not known".lstrip("."))
-
-
 def _settings(raw: Table) -> Settings:
     try:
         return read_settings(raw)
@@ -272,56 +254,3 @@
         return int(value, 16) if isinstance(value, str) else int(str(value))
     except ValueError as fault:
         raise ConfigError("seed must be a hexadecimal number") from fault
-
-
-# The readers: each takes a table, the key and the path that messages name.
-
-
-def take(raw: Table, key: str, path: str, default: object = MISSING) -> object:
-    value = raw.get(key)
-    if value is None:
-        if default is MISSING:
-            raise ConfigError(f"{path} is missing")
-        return default
-    return value
-
-
-def table(raw: Table, key: str, path: str, default: object = MISSING) -> Table:
-    value = take(raw, key, path, default)
-    if not isinstance(value, Mapping):
-        raise ConfigError(f"{path} must be a table")
-    return value
-
-
-def word(raw: Table, key: str, path: str, default: object = MISSING) -> str:
-    value = take(raw, key, path, default)
-    if not isinstance(value, str) or not value or not value.isprintable() or " " in value:
-        raise ConfigError(f"{path} must be a word")
-    return value
-
-
-def whole(raw: Table, key: str, path: str, least: int, most: int, default: object = MISSING) -> int:
-    value = take(raw, key, path, default)
-    if not isinstance(value, int) or isinstance(value, bool) or not least <= value <= most:
-        raise ConfigError(f"{path} must be a whole number from {least} to {most}")
-    return value
-
-
-def number(raw: Table, key: str, path: str, least: float, most: float, default: object = MISSING) -> float:
-    value = take(raw, key, path, default)
-    if not isinstance(value, int | float) or isinstance(value, bool) or not least <= value <= most:
-        raise ConfigError(f"{path} must be a number from {least} to {most}")
-    return float(value)
-
-
-def address(raw: Table, key: str, path: str, default: object = MISSING) -> Address:
-    """`1.2.3.4:90`: there are no names to look up."""
-    value = take(raw, key, path, default)
-    host, _, port = str(value).rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-        if not port.isdigit() or not 0 <= int(port) <= 65535:
-            raise ValueError
-    except ValueError as fault:
-        raise ConfigError(f"{path} must be a numeric address and a port, as 127.0.0.1:9090") from fault
-    return host.strip("[]"), int(port)
--- a/marlstep/fronts/base.py
+++ b/marlstep/fronts/base.py
@@ -13,8 +13,8 @@
 
 from marlstep.core.engine import Core
 from marlstep.core.model import Answer, Ticket
+from marlstep.net.stream import RingStream
 from marlstep.slots import SlotTable, TableFull
-from marlstep.stream import RingStream
 from marlstep.timeline import Deadline, Timeline
 from marlstep.units import MILLISECOND, SECOND
 
--- a/marlstep/fronts/resp_wire.py
+++ b/marlstep/fronts/resp_wire.py
@@ -5,7 +5,7 @@
 import re
 from collections.abc import Mapping
 
-from marlstep.ring import LineTooLong, Ring
+from marlstep.net.ring import LineTooLong, Ring
 
 HEAD_LIMIT = 16  # of the lines that hold a count or a length
 LIMITS = (16, 20, 128, 1024, 2048)  # of the words: verb, tag, class, fields, body
--- a/marlstep/fronts/uwsgi_wire.py
+++ b/marlstep/fronts/uwsgi_wire.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from marlstep.ring import Ring
+from marlstep.net.ring import Ring
 
 HEAD = 4
 
--- /dev/null
+++ b/marlstep/net/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes: the event loop, streams, ring buffers, lines."""
--- a/marlstep/lines.py
+++ b/marlstep/net/lines.py
@@ -4,8 +4,8 @@
 
 import logging
 
-from marlstep.ring import LineTooLong
-from marlstep.stream import RingStream
+from marlstep.net.ring import LineTooLong
+from marlstep.net.stream import RingStream
 
 log = logging.getLogger(__name__)
 
--- a/marlstep/stream.py
+++ b/marlstep/net/stream.py
@@ -12,7 +12,7 @@
 from collections import deque
 from typing import cast
 
-from marlstep.ring import Ring
+from marlstep.net.ring import Ring
 
 log = logging.getLogger(__name__)
 BATCH = 16 * 1024  # bytes that the transport may gather for one write
--- /dev/null
+++ b/marlstep/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's other parties: kernel, database, name service."""
--- a/marlstep/db.py
+++ b/marlstep/platform/db.py
@@ -15,8 +15,8 @@
 from datetime import datetime
 
 from marlstep.core.model import Request, Sink
-from marlstep.eventloop import Address, Cancel, Dial, dial
-from marlstep.lines import LineFault, LineStream, length
+from marlstep.net.eventloop import Address, Cancel, Dial, dial
+from marlstep.net.lines import LineFault, LineStream, length
 from marlstep.timeline import Deadline, Timeline
 from marlstep.units import MILLISECOND, SECOND, whole_ms
 from petrelcart.interface import Effect, Outcome
--- a/marlstep/kernel.py
+++ b/marlstep/platform/kernel.py
@@ -12,8 +12,8 @@
 from datetime import timedelta
 
 from marlstep.core.model import Request, Sink
-from marlstep.eventloop import Address, Cancel, Dial, dial
-from marlstep.lines import LineFault, LineStream, length
+from marlstep.net.eventloop import Address, Cancel, Dial, dial
+from marlstep.net.lines import LineFault, LineStream, length
 from marlstep.timeline import Deadline, Timeline
 from marlstep.units import MILLISECOND, ZERO
 from petrelcart.interface import Outcome
--- /dev/null
+++ b/marlstep/traces/__init__.py
@@ -0,0 +1,1 @@
+"""Public cluster traces: read, mapped, cut to size, replayed."""
--- a/marlstep/trace.py
+++ b/marlstep/traces/tenants.py
@@ -1,7 +1,7 @@
 """Settings for tenants and classes out of a public cluster trace in CSV.
 
-    python -m marlstep.trace --preset google-2011 --as 0=temp-history --as 3=setpoint-cmd part.csv
-    python -m marlstep.trace --tenant user --kind queue --time submit --unit s trace.csv
+    python -m marlstep trace tenants --preset google-2011 --as 0=temp-history --as 3=setpoint-cmd part.csv
+    python -m marlstep trace tenants --tenant user --kind queue --time submit --unit s trace.csv
 
 It reads the trace line by line, whatever its size, and counts arrivals for each tenant and class. Columns are
 named by the header, or by number (from 0) where there is none. Nothing is replayed. Lines that can't be read
@@ -157,7 +157,9 @@
 
 
 def main(arguments: list[str] | None = None) -> int:
-    parser = argparse.ArgumentParser(prog="marlstep.trace", description=(__doc__ or "").split("\n", 1)[0])
+    parser = argparse.ArgumentParser(
+        prog="marlstep trace tenants", description=(__doc__ or "").split("\n", 1)[0]
+    )
     parser.add_argument("file", help="the trace; - for standard input")
     parser.add_argument(
         "--preset", choices=sorted(PRESETS), help="the columns of a known trace, without header"
@@ -196,12 +198,12 @@
             with open(options.file, encoding="utf-8", errors="replace", newline="") as lines:
                 tally = count(lines, columns, header, sys.stderr)
     except (OSError, ValueError) as fault:
-        print(f"marlstep.trace: {options.file}: {fault}", file=sys.stderr)
+        print(f"marlstep trace tenants: {options.file}: {fault}", file=sys.stderr)
         return 2
     if tally.bad > BAD_NAMED:
         print(f"and {tally.bad - BAD_NAMED} more bad lines", file=sys.stderr)
     if not tally.good:
-        print(f"marlstep.trace: {options.file}: no arrival in it", file=sys.stderr)
+        print(f"marlstep trace tenants: {options.file}: no arrival in it", file=sys.stderr)
         return 2
     print("\n".join(settings(tally, options.most, options.headroom, names)))
     return 0
--- /dev/null
+++ b/marlstep/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Servers that fronts of our own send work on to."""
--- a/marlstep/upstream.py
+++ b/marlstep/upstreams/upstream.py
@@ -15,7 +15,7 @@
 
 from marlstep.core.model import Request, Sink
 from marlstep.fronts.uwsgi_wire import HEAD, read_variables
-from marlstep.stream import RingStream
+from marlstep.net.stream import RingStream
 from marlstep.timeline import Timeline
 from petrelcart.interface import Outcome
 
--- a/tests/node.py
+++ b/tests/node.py
@@ -9,8 +9,8 @@
 
 from marlstep.core.engine import Core, Ports
 from marlstep.core.model import Answer, Offer, Request, Ticket, Verdict
-from marlstep.eventloop import Address, Done, Make
-from marlstep.stream import RingStream
+from marlstep.net.eventloop import Address, Done, Make
+from marlstep.net.stream import RingStream
 from marlstep.timeline import Timeline
 from marlstep.units import EPOCH, MILLISECOND, SECOND
 from petrelcart.benchlink import read_settings
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -6,7 +6,7 @@
 from collections import Counter
 
 from marlstep.fronts.uwsgi_wire import PacketReader
-from marlstep.ring import Ring
+from marlstep.net.ring import Ring
 
 
 class StandIn:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -82,7 +82,7 @@
     path.write_text(text)
     monkeypatch.setenv("PROXY_CONFIG", str(path))
     monkeypatch.setattr("sys.argv", ["marlstep"])
-    assert main() == 2
+    assert main([]) == 2
     assert capsys.readouterr().err.count("\n") == 1
 
 
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from marlstep.__main__ import Node
 from marlstep.config import ConfigError, check
 from marlstep.core.engine import MOST_REQUESTS
-from marlstep.eventloop import LoopWaker
 from marlstep.fronts.resp_wire import write_frame
+from marlstep.net.eventloop import LoopWaker
+from marlstep.node import Node
 from marlstep.timeline import Timeline
 from marlstep.units import SECOND
 from tests.node import raw_config
--- a/tests/test_db.py
+++ b/tests/test_db.py
@@ -7,7 +7,7 @@
 import pytest
 
 from marlstep.core.model import Request
-from marlstep.db import MOST_LINKS, MOST_RESTING, Database
+from marlstep.platform.db import MOST_LINKS, MOST_RESTING, Database
 from marlstep.units import SECOND
 from petrelcart.interface import Outcome
 from tests.node import Desk, HandClock, HandDial, Notes, Wire
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from marlstep.kernel import Kernel
+from marlstep.platform.kernel import Kernel
 from marlstep.units import MILLISECOND
 from petrelcart.interface import Outcome
 from tests.node import Desk, HandClock, HandDial, Notes, Wire
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,123 @@
+"""The direction of imports, and what the platform's node must not load."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+
+# A part, and what it may import of the project, by prefix. The longest prefix of a module's name counts.
+MAY: dict[str, tuple[str, ...]] = {
+    "petrelcart": ("petrelcart",),
+    "marlstep.units": (),
+    "marlstep.slots": (),
+    "marlstep.timeline": (),
+    "marlstep.net": ("marlstep.net", "marlstep.units"),
+    "marlstep.core": ("marlstep.core", "marlstep.slots", "marlstep.timeline", "marlstep.units", "petrelcart"),
+    "marlstep.fronts": (
+        "marlstep.fronts",
+        "marlstep.core",
+        "marlstep.net",
+        "marlstep.slots",
+        "marlstep.timeline",
+        "marlstep.units",
+    ),
+    "marlstep.platform": (
+        "marlstep.platform",
+        "marlstep.core.model",
+        "marlstep.net",
+        "marlstep.timeline",
+        "marlstep.units",
+        "petrelcart.interface",
+    ),
+    "marlstep.upstreams": (
+        "marlstep.upstreams",
+        "marlstep.core.model",
+        "marlstep.fronts.uwsgi_wire",
+        "marlstep.net",
+        "marlstep.timeline",
+        "petrelcart.interface",
+    ),
+    "marlstep.admin": (
+        "marlstep.admin",
+        "marlstep.core",
+        "marlstep.fronts.base",
+        "marlstep.timeline",
+        "marlstep.units",
+    ),
+    "marlstep.config": ("marlstep.config", "marlstep.fronts.mapped", "marlstep.units", "petrelcart"),
+}
+# Modules that decide: no I/O, no clock, no source of chance of their own.
+DECIDE = ("petrelcart/policy.py", "marlstep/core/keys.py")
+IO = {
+    "asyncio",
+    "io",
+    "os",
+    "pathlib",
+    "random",
+    "selectors",
+    "socket",
+    "subprocess",
+    "threading",
+    "time",
+    "uvloop",
+}
+# What a node that was told nothing more must not load: it lives in 32 MB.
+ABSENT = (
+    "argparse", "blake3", "click", "csv", "gzip", "hdrh", "marlstep.cli", "marlstep.standins",
+    "marlstep.traces", "matplotlib", "multiprocessing", "numpy", "rich", "sqlite3", "structlog", "zstandard",
+)  # fmt: skip
+
+
+def imports(path: Path) -> set[str]:
+    found: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom):
+            found.add(node.module or "")
+        elif isinstance(node, ast.Import):
+            found.update(alias.name for alias in node.names)
+    return found
+
+
+def module_name(path: Path) -> str:
+    return ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__")
+
+
+def within(name: str, prefix: str) -> bool:
+    return name == prefix or name.startswith(prefix + ".")
+
+
+def test_imports_go_one_way() -> None:
+    faults = []
+    for path in sorted([*ROOT.glob("marlstep/**/*.py"), *ROOT.glob("petrelcart/*.py")]):
+        name = module_name(path)
+        part = max((prefix for prefix in MAY if within(name, prefix)), key=len, default=None)
+        if part is None:
+            continue
+        for one in imports(path):
+            if one.startswith(("marlstep", "petrelcart")) and not any(
+                within(one, good) for good in MAY[part]
+            ):
+                faults.append(f"{name} imports {one}")
+    assert faults == []
+
+
+def test_modules_that_decide_do_no_io() -> None:
+    faults = {name: imports(ROOT / name) & IO for name in DECIDE}
+    assert {name: found for name, found in faults.items() if found} == {}
+
+
+def test_a_node_as_the_platform_starts_it_loads_nothing_that_is_not_turned_on() -> None:
+    program = (
+        "import sys, marlstep.node, marlstep.__main__\n"
+        "print(*[name for name in sys.modules if not name.startswith('_')])"
+    )
+    loaded = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True, cwd=ROOT
+    )
+    names = loaded.stdout.split()
+    assert "marlstep.core.engine" in names
+    assert [name for name in names for bad in ABSENT if within(name, bad)] == []
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -12,11 +12,11 @@
 import pytest
 import uvloop
 
-from marlstep.__main__ import Node
 from marlstep.config import check
-from marlstep.eventloop import LoopWaker
 from marlstep.fronts.resp_wire import write_frame
 from marlstep.fronts.uwsgi_wire import write_packet
+from marlstep.net.eventloop import LoopWaker
+from marlstep.node import Node
 from marlstep.timeline import Timeline
 from marlstep.units import SECOND, ZERO, instant_us
 from tests.node import raw_config
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -9,12 +9,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from marlstep import kernel
 from marlstep.fronts.resp import Tags, read_offer
 from marlstep.fronts.resp_wire import FrameReader, Malformed, read_fields, write_fields, write_frame
 from marlstep.fronts.uwsgi import read_cost
 from marlstep.fronts.uwsgi_wire import BadPacket, PacketReader, read_variables, write_packet
-from marlstep.ring import LineTooLong, Ring
+from marlstep.net.ring import LineTooLong, Ring
+from marlstep.platform import kernel
 from petrelcart.interface import Outcome
 from tests.node import HandClock, HandDial, Notes, Wire
 from tests.test_db import Rig
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -13,10 +13,10 @@
 import pytest
 import uvloop
 
-from marlstep.__main__ import Node
 from marlstep.config import check, load, renewed
-from marlstep.eventloop import LoopWaker
-from marlstep.naming import EVERY, Naming
+from marlstep.net.eventloop import LoopWaker
+from marlstep.node import Node
+from marlstep.platform.naming import EVERY, Naming
 from marlstep.timeline import Timeline
 from marlstep.units import MILLISECOND
 from tests.node import HandClock, raw_config
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -12,10 +12,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marlstep import trace
-from marlstep.admin import Admin, AdminConnection
+from marlstep.admin.api import Admin, AdminConnection
 from marlstep.config import ConfigError, check
 from marlstep.core.model import Verdict
+from marlstep.traces import tenants as trace
 from marlstep.units import SECOND
 from tests.node import Desk, Wire, raw_config
 from tests.test_parsers import CUTS, FIXED, GARBAGE, pieces
