Replay traces against real nodes and on a clock moved by hand, to a service figure

Need: the operators want recorded load replayed, the same figure each time. A compiled schedule is sent in an open loop through either front to one or several node processes, between stand-ins of the kernel (processor sharing, pause, resume, calls), the database and a uwsgi server; or, without sockets, to the same core on a clock moved by hand. Retries count with the first try; worst 10 s, classes, tenants and histograms are kept, and two runs are compared as text and plot.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv/bin
 
-.PHONY: build test lint format run sim
+.PHONY: build test lint format run sim bench-traces bench-replay
 
 build: .venv/requirements-dev.txt
 
@@ -27,3 +27,10 @@
 
 sim: build
 	$(VENV)/python -m petrelcart.benchlink
+
+# Long measurements, outside CI; each prints one JSON object.
+bench-traces: build
+	$(VENV)/python benchmarks/trace_reading.py
+
+bench-replay: build
+	$(VENV)/python benchmarks/replay_again.py
--- a/marlstep/cli/trace.py
+++ b/marlstep/cli/trace.py
@@ -16,7 +16,7 @@
 import structlog
 
 from marlstep.cli.spans import SPAN_TYPE
-from marlstep.config.readers import ConfigError
+from marlstep.config.readers import ConfigError, read_file
 from marlstep.config.traces import load_trace
 from marlstep.traces import tenants as tenants_
 from marlstep.traces.compiling import CompileError, Cut, compile_trace
@@ -26,8 +26,9 @@
 from marlstep.traces.mapping import Mapper, MappingSettings
 from marlstep.traces.order import WINDOW_US
 from marlstep.traces.reading import Account, Reading, Strict, described
+from marlstep.traces.retries import Retries
 from marlstep.traces.rows import Reject
-from marlstep.traces.schedule import ScheduleError
+from marlstep.traces.schedule import Schedule, ScheduleError
 from marlstep.traces.sources import SourceError
 from marlstep.traces.window import Counts
 
@@ -350,3 +351,108 @@
             raise CompileError(f"{', '.join(parts)}: no arrival in it")
     renamed = dict(name.split("=", 1) for name in names)
     click.echo("\n".join(tenants_.settings(reading.account, most, headroom, renamed)))
+
+
+@group.command()
+@click.argument("schedule", type=click.Path())
+@click.option("--config", default="deploy/node.json", show_default=True, help="The node's configuration.")
+@click.option("--virtual", is_flag=True, help="On a clock moved by hand, without sockets.")
+@click.option("--front", type=click.Choice(["resp", "uwsgi"]), default="resp", show_default=True)
+@click.option(
+    "--retries", type=click.Choice([one.value for one in Retries]), default="none", show_default=True
+)
+@click.option(
+    "--load", type=click.FloatRange(0, min_open=True), help="Of the cores' capacity; else its own pace."
+)
+@click.option("--for", "for_us", type=SPAN_TYPE, help="Repeat or cut the schedule to this length.")
+@click.option(
+    "--speed", type=click.FloatRange(0, 1000, min_open=True), default=1.0, help="Of a stand-in core."
+)
+@click.option(
+    "--call", "call_us", type=SPAN_TYPE, default=30_000, help="Time of a call below (default 30ms)."
+)
+@click.option(
+    "--late", "late_us", type=SPAN_TYPE, default=50_000, help="Most lateness of sending (default 50ms)."
+)
+@click.option("--nodes", type=click.IntRange(1, 32), default=1, show_default=True)
+@click.option("--seed", type=click.IntRange(0, (1 << 63) - 1), default=1, show_default=True)
+@click.option("--out", type=click.Path(), help="Write the whole report here, for `report`.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+@click.pass_context
+def replay(
+    ctx: click.Context,
+    schedule: str,
+    config: str,
+    virtual: bool,
+    front: str,
+    retries: str,
+    load: float | None,
+    for_us: int | None,
+    speed: float,
+    nodes: int,
+    call_us: int,
+    late_us: int,
+    seed: int,
+    out: str | None,
+    as_json: bool,
+) -> None:
+    """Send a compiled schedule to a node, and tell the service that it gave.
+
+    On sockets a node process is started between stand-ins of the kernel, the tier below and a uwsgi server, all on
+    loopback. Senders with retries count them with the first try.
+
+    \b
+    Examples:
+      marlstep trace replay --virtual --load 1.3 --for 20s --speed 10 peak.sched
+      marlstep trace replay --load 0.9 --for 20s --speed 10 --out a.json peak.sched
+    """
+    from marlstep.traces.replay.loopback import ReplayError, Settings
+    from marlstep.traces.replay.replaying import Wanted
+    from marlstep.traces.replay.replaying import replay as run
+
+    try:
+        with faults(ctx), Schedule(schedule) as opened:
+            told = read_file(config, "--config", json.loads)
+            settings = Settings(told, front, speed, call_us, nodes=nodes, late_us=late_us)
+            report = run(opened, Wanted(settings, virtual, Retries(retries), seed, load, for_us))
+    except ReplayError as fault:
+        click.echo(f"marlstep: {fault}", err=True)
+        ctx.exit(UNUSABLE)
+    if out is not None:
+        Path(out).write_text(json.dumps(report) + "\n")
+    brief = {
+        name: value for name, value in report.items() if name not in ("histograms", "by_second", "schedule")
+    }
+    show(report if as_json else brief, as_json)
+    if not report["counts"]:
+        click.echo("marlstep: the senders fell behind: this run does not count", err=True)
+        ctx.exit(UNUSABLE)
+
+
+@group.command()
+@click.argument("first", type=click.Path())
+@click.argument("second", type=click.Path())
+@click.option("--plot", "plot_path", type=click.Path(), help="A .png, or an .html that holds it.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+@click.pass_context
+def report(ctx: click.Context, first: str, second: str, plot_path: str | None, as_json: bool) -> None:
+    """Compare two replays.
+
+    \b
+    Example:
+      marlstep trace report a.json b.json --plot change.html
+    """
+    from marlstep.traces.replay import report as reports
+
+    try:
+        runs = reports.load(first), reports.load(second)
+        if plot_path is not None:
+            reports.plot(*runs, (first, second), plot_path)
+    except (reports.ReportError, OSError) as fault:
+        click.echo(f"marlstep: {fault}", err=True)
+        ctx.exit(UNUSABLE)
+    if as_json:
+        rows = reports.compared(*runs)
+        click.echo(json.dumps({name: {"first": one, "second": other} for name, one, other in rows}))
+    else:
+        click.echo(reports.as_text(*runs, (first, second)))
--- a/marlstep/fronts/uwsgi_wire.py
+++ b/marlstep/fronts/uwsgi_wire.py
@@ -96,6 +96,7 @@
 
 
 REASONS = {
+    200: "OK",
     400: "Bad Request",
     413: "Content Too Large",
     502: "Bad Gateway",
--- a/marlstep/traces/formats/azure_2019.py
+++ b/marlstep/traces/formats/azure_2019.py
@@ -48,9 +48,9 @@
         self._minutes = [array("L") for _ in range(MINUTES)]  # function and count, in turn
 
     def header(self, cells: list[str]) -> bool:
-        if tuple(cell.strip() for cell in cells[:4]) != HEAD:
-            return False
-        width(cells, len(COLUMNS))
+        # A spoilt header must not pass for a row: its 1, 2, 3 and so on would be a million invocations.
+        if tuple(cell.strip() for cell in cells) != COLUMNS:
+            raise BadRow(Reason.NO_HEADER, text=",".join(cells))
         return True
 
     def parse(self, cells: list[str], line: int) -> Arrival | Skip:
@@ -88,29 +88,28 @@
     def _minute(self, minute: int, counts: array[int]) -> Iterator[Arrival]:
         start = (self._day * MINUTES + minute) * MINUTE_US
         # The next of each function, the soonest first; memory is that of the functions of one minute.
-        turns = [
-            (self._instant(number, minute, 0, count), number, 0, count)
-            for number, count in zip(counts[::2], counts[1::2], strict=True)
-            if count
-        ]
+        turns: list[tuple[int, int, int, int, float]] = []
+        for number, count in zip(counts[::2], counts[1::2], strict=True):
+            if count:
+                phase = self._phase(number, minute)
+                turns.append((int(phase * MINUTE_US / count), number, 0, count, phase))
         heapq.heapify(turns)
         while turns:
-            at, number, index, count = turns[0]
+            at, number, index, count, phase = turns[0]
             owner, app, function, trigger, line = self._functions[number]
             yield Arrival(start + at, f"{app}/{function}", "", owner, trigger, 0.0, line)
             if index + 1 < count:
-                following = self._instant(number, minute, index + 1, count)
-                heapq.heapreplace(turns, (following, number, index + 1, count))
+                following = int((index + 1 + phase) * MINUTE_US / count)
+                heapq.heapreplace(turns, (following, number, index + 1, count, phase))
             else:
                 heapq.heappop(turns)
 
-    def _instant(self, number: int, minute: int, index: int, count: int) -> int:
-        """Microseconds into the minute."""
+    def _phase(self, number: int, minute: int) -> float:
+        """Where the function's first invocation of the minute lies, as a share of the gap between two."""
         owner, app, function = self._functions[number][:3]
         at = (self._day * MINUTES + minute).to_bytes(8, "little")
         digest = blake3(f"{owner}/{app}/{function}".encode() + at, key=self._seed.ljust(32, b"\0")).digest(8)
-        phase = int.from_bytes(digest, "little") / (1 << 64)
-        return int((index + phase) * MINUTE_US / count)
+        return int.from_bytes(digest, "little") / (1 << 64)
 
 
 class Azure2019:
--- a/marlstep/traces/window.py
+++ b/marlstep/traces/window.py
@@ -10,7 +10,7 @@
 
 import math
 from array import array
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
 from marlstep.traces.mapping import Planned
@@ -119,6 +119,22 @@
         yield row._replace(at_us=int(row.at_us / factor))
 
 
+def repeated(make: Callable[[], Iterator[Planned]], period_us: int, length_us: int) -> Iterator[Planned]:
+    """A stream that lasts `period_us`, again and again until `length_us` is full; cut off there."""
+    shift = 0
+    while shift < length_us:
+        empty = True
+        for row in make():
+            at = row.at_us + shift
+            if at >= length_us:
+                return
+            empty = False
+            yield row._replace(at_us=at)
+        if empty:
+            return
+        shift += max(1, period_us)
+
+
 def share_for_rate(total: int, seconds: float, rate: float) -> float:
     """The share of the senders that brings a trace down to `rate` arrivals a second; 1 where it has fewer."""
     if rate <= 0 or total <= 0 or seconds <= 0:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -56,8 +56,11 @@
 DECIDE = (
     "petrelcart/policy.py",
     "marlstep/core/keys.py",
+    "marlstep/standins/cores.py",
     "marlstep/traces/mapping.py",
     "marlstep/traces/order.py",
+    "marlstep/traces/replay/campaign.py",
+    "marlstep/traces/replay/figures.py",
     "marlstep/traces/window.py",
 )
 IO = {
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -102,7 +102,7 @@
     )
     cut = data.draw(st.integers(0, 60))
     if name == "azure-2019":  # one more digit in a count is a hundred thousand arrivals
-        garbage = garbage.translate(None, b"123456789")
+        garbage = garbage.translate(None, b"0123456789")
     path = tmp_path_factory.mktemp("t") / "t"
     path.write_bytes(whole[:at] + garbage + whole[at + cut :])
     adds_up(*read(path, name))
@@ -300,5 +300,13 @@
     assert call([*words[:2], "--format", "none", source]) == 2
 
 
+def test_a_spoilt_header_of_counts_is_no_row(tmp_path: Path) -> None:
+    path = tmp_path / "trace.csv"
+    path.write_bytes((EXAMPLES / "azure-2019.csv").read_bytes().replace(b"HashOwner", b"HashOwne", 1))
+    reading, rows, rejects = read(path, "azure-2019")
+    adds_up(reading, rows, rejects)
+    assert rejects[0].reason.value == "no-header" and len(rows) == 534
+
+
 def test_every_example_has_a_maker_and_a_format() -> None:
     assert set(MAKERS) == set(MODULES) == set(EXPECTED)
