--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -50,6 +50,19 @@
     ),
     "marlstep.config.traces": ("marlstep.config", "marlstep.traces.formats", "marlstep.traces.mapping"),
     "marlstep.traces": ("marlstep.traces", "marlstep.units"),
+    "marlstep.traces.replay": (
+        "marlstep.traces",
+        "marlstep.config.node",
+        "marlstep.core",
+        "marlstep.fronts.resp_wire",
+        "marlstep.fronts.uwsgi_wire",
+        "marlstep.net",
+        "marlstep.standins",
+        "marlstep.timeline",
+        "marlstep.units",
+        "petrelcart.interface",
+    ),
+    "marlstep.standins": ("marlstep.standins", "marlstep.fronts.uwsgi_wire", "marlstep.net"),
     "marlstep.config": ("marlstep.config", "marlstep.fronts.mapped", "marlstep.units", "petrelcart"),
 }
 # Modules that decide: no I/O, no clock, no source of chance of their own.
