--- a/benchmarks/trace_reading.py
+++ b/benchmarks/trace_reading.py
@@ -28,9 +28,9 @@
 at, out = 600_000_000, sys.stdout.buffer
 while rows > 0:
     lines = []
-    for line in block[:rows]:
-        at += 450 if rows % 7 else -40_000
-        lines.append(f"{at}{line}")
+    for number, line in enumerate(block[:rows]):
+        at += 450
+        lines.append(f"{at if number % 7 else at - 40_000}{line}")
     rows -= len(lines)
     out.write(packer.compress("".join(lines).encode()))
 out.write(packer.flush())
--- a/marlstep/__main__.py
+++ b/marlstep/__main__.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
 
 PLAIN = "%(asctime)s %(levelname)s %(name)s: %(message)s"
@@ -14,6 +15,8 @@
 def main(arguments: list[str] | None = None) -> int:
     words = sys.argv[1:] if arguments is None else arguments
     match words:
+        case _ if "_MARLSTEP_COMPLETE" in os.environ:  # the shell asks what could follow
+            return _command(words)
         case [] | ["node"]:
             operator = None
         case ["--operator", operator] | ["node", "--operator", operator]:
--- a/marlstep/cli/trace.py
+++ b/marlstep/cli/trace.py
@@ -24,7 +24,6 @@
 from marlstep.traces.formats.base import Format
 from marlstep.traces.formats.generic import UNITS, Columns, Generic
 from marlstep.traces.mapping import Mapper, MappingSettings
-from marlstep.traces.order import WINDOW_US
 from marlstep.traces.reading import Account, Reading, Strict, described
 from marlstep.traces.retries import Retries
 from marlstep.traces.rows import Reject
@@ -58,7 +57,7 @@
         click.option("--map", "map_path", type=click.Path(), help="An operator's file with [trace]."),
         click.option("--seed", type=click.IntRange(0, (1 << 63) - 1), default=1, show_default=True),
         click.option(
-            "--reorder", type=SPAN_TYPE, default=WINDOW_US, help="How late a row may come (default 300s)."
+            "--reorder", type=SPAN_TYPE, help="How late a row may come; else what the format needs."
         ),
         click.option("--rejects", type=click.Path(), help="Write every bad row to this CSV file."),
         click.option("--strict", is_flag=True, help="End with 3 at the first bad row."),
@@ -165,7 +164,7 @@
     format_name: str | None,
     map_path: str | None,
     seed: int,
-    reorder: int,
+    reorder: int | None,
     rejects: str | None,
     strict: bool,
     as_json: bool,
@@ -238,7 +237,7 @@
     format_name: str | None,
     map_path: str | None,
     seed: int,
-    reorder: int,
+    reorder: int | None,
     rejects: str | None,
     strict: bool,
     as_json: bool,
@@ -311,7 +310,7 @@
     format_name: str | None,
     map_path: str | None,
     seed: int,
-    reorder: int,
+    reorder: int | None,
     rejects: str | None,
     strict: bool,
     as_json: bool,
--- a/marlstep/node.py
+++ b/marlstep/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import os
 import signal
 import sys
 from collections import Counter
@@ -39,6 +40,10 @@
 async def serve(config: Config, read_again: Callable[[], Config]) -> None:
     timeline = Timeline(LoopWaker(asyncio.get_running_loop()))
     node = Node(config, timeline, read_again)
+    if stall := os.environ.get("MARLSTEP_STALL_MS", ""):
+        from marlstep.stall import StallWatch  # not loaded unless it is turned on
+
+        StallWatch(timeline, max(1, int(stall)) * MILLISECOND).look()
     await node.open()
     await node.ended.wait()
     node.close()
--- /dev/null
+++ b/marlstep/pool/table.py
@@ -0,0 +1,270 @@
+"""The servers of one pool, and which of them an attempt goes to.
+
+Of two that are drawn by chance the one that would be done sooner is taken: nearly as good as the best of all, at a
+flat cost, and without all nodes running to the same server. Work beyond all limits is not taken here; it waits in
+the decision module's hold, whose business admission is.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from typing import Protocol
+
+from marlstep.pool.estimate import AdaptiveLimit, LimitSettings, PeakEwma
+from marlstep.pool.health import Health, HealthSettings, State
+from marlstep.slots import SlotTable, TableFull
+from marlstep.units import MILLISECOND, ZERO
+
+MOST_SERVERS = 1_024
+UNKNOWN = 1 * MILLISECOND  # of a server that nothing is known of: it is soon known
+DRAWS = 6  # by chance, for two that are free, before all are looked at
+SUSPECT_COST = 3.0  # times its expected time, for a server that has just failed
+
+
+class Chance(Protocol):
+    """The seeded source that is passed in."""
+
+    def randrange(self, stop: int) -> int: ...
+
+
+@dataclass(slots=True, frozen=True)
+class PoolSettings:
+    limits: LimitSettings = field(default_factory=LimitSettings)
+    health: HealthSettings = field(default_factory=HealthSettings)
+    most_out: float = 0.34  # of the servers that may be ejected at once
+    fall: timedelta = 10_000 * MILLISECOND  # of the latency estimate
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """What is known of one server."""
+
+    name: str  # host:port, as configured
+    health: Health
+    latency: PeakEwma
+    limit: AdaptiveLimit
+    handle: int = 0
+    in_flight: int = 0
+    refusals: int = 0  # by the server itself: they prove that nothing ran
+    attempts: int = 0
+    boot: str | None = None  # the identity that it tells of its present life
+    boot_seen: datetime | None = None
+    leaving: bool = False  # no new work; gone once nothing is in flight
+    probe_out: bool = False
+
+    @property
+    def usable(self) -> bool:
+        return not self.leaving and self.health.state in (State.NEW, State.HEALTHY, State.SUSPECT)
+
+
+class ServerTable:
+    """Numbered slots, as everywhere: a handle that is late finds nothing."""
+
+    def __init__(self, settings: PoolSettings, chance: Chance) -> None:
+        self.settings = settings
+        self._chance = chance
+        self._servers: SlotTable[Server] = SlotTable(MOST_SERVERS)
+        self._by_name: dict[str, int] = {}
+        self._members: list[Server] = []  # all but those that leave, in the order in which they came
+        self._out: dict[int, Server] = {}  # those that are ejected or probed
+        self.spared = 0  # servers that were not ejected, as too many were out
+
+    def __len__(self) -> int:
+        return len(self._servers)
+
+    def __iter__(self) -> Iterator[Server]:
+        return iter(self._servers)
+
+    def get(self, handle: int) -> Server | None:
+        return self._servers.get(handle)
+
+    def named(self, name: str) -> Server | None:
+        handle = self._by_name.get(name)
+        return None if handle is None else self._servers.get(handle)
+
+    # Who is in the pool.
+
+    def set_members(self, names: list[str], now: datetime) -> tuple[list[str], list[str]]:
+        """The pool holds these from now on; gives the names that came and those that go.
+
+        A server that goes keeps what it has until that has ended. One that comes back before then is the same.
+        Raises TableFull where there are too many, and changes nothing then.
+        """
+        wanted = dict.fromkeys(names)
+        if len(wanted) + sum(server.leaving for server in self._servers) > MOST_SERVERS:
+            raise TableFull(f"a pool holds {MOST_SERVERS} servers at the most")
+        came, gone = [], []
+        for server in self._servers:
+            if server.name not in wanted and not server.leaving:
+                server.leaving = True
+                gone.append(server.name)
+                self._forget_if_done(server)
+        for name in wanted:
+            known = self.named(name)
+            if known is None:
+                self._add(name, now)
+                came.append(name)
+            elif known.leaving:
+                known.leaving = False
+                came.append(name)
+        self._members = [server for server in self._servers if not server.leaving]
+        return came, gone
+
+    def _add(self, name: str, now: datetime) -> None:
+        server = Server(
+            name,
+            Health(self.settings.health, now),
+            PeakEwma(self.settings.fall),
+            AdaptiveLimit(self.settings.limits),
+        )
+        server.handle = self._servers.add(server)
+        self._by_name[name] = server.handle
+
+    def _forget_if_done(self, server: Server) -> None:
+        """The one place where a server's slot is given back."""
+        if server.leaving and not server.in_flight and self._servers.free(server.handle):
+            del self._by_name[server.name]
+            self._out.pop(server.handle, None)
+
+    # Which one.
+
+    def room(self, server: Server, now: datetime) -> int:
+        """How many more requests it may have."""
+        if not server.usable:
+            return 0
+        return max(1, math.floor(server.limit.value * server.health.weight(now))) - server.in_flight
+
+    def cost(self, server: Server, now: datetime) -> timedelta:
+        """When a request that went there now would be done, about."""
+        took = max(UNKNOWN, server.latency.value or ZERO)
+        penalty = SUSPECT_COST if server.health.state is State.SUSPECT else 1.0
+        return took * (server.in_flight + 1) * penalty / server.health.weight(now)
+
+    def choose(self, now: datetime, without: frozenset[int] = frozenset()) -> Server | None:
+        """The server for an attempt, or None where all are full, out, or in `without`. Takes nothing yet."""
+        probe = self._probe(now, without)
+        if probe is not None:
+            return probe
+        found = self._drawn(now, without)
+        if not found:  # hardly any is free: look at all of them
+            found = [one for one in self._members if one.handle not in without and self.room(one, now) > 0]
+        if len(found) > 2:
+            first = found.pop(self._chance.randrange(len(found)))
+            found = [first, found[self._chance.randrange(len(found))]]
+        # Of equals the first drawn: by any fixed order the same few would get all of a light load.
+        return min(found, key=lambda one: self.cost(one, now), default=None)
+
+    def _drawn(self, now: datetime, without: frozenset[int]) -> list[Server]:
+        """Two that are free, by a few draws; fewer where it takes more."""
+        found: list[Server] = []
+        members = self._members
+        for _ in range(DRAWS if len(members) > DRAWS else 0):
+            one = members[self._chance.randrange(len(members))]
+            if one not in found and one.handle not in without and self.room(one, now) > 0:
+                found.append(one)
+                if len(found) == 2:
+                    break
+        return found
+
+    def _probe(self, now: datetime, without: frozenset[int]) -> Server | None:
+        """A server whose time out is over gets one request, before any other has a second chance to."""
+        for server in self._out.values():
+            server.health.look(now)
+            if server.health.state is State.PROBING and not (
+                server.probe_out or server.leaving or server.handle in without
+            ):
+                return server
+        return None
+
+    # What became of attempts.
+
+    def begun(self, handle: int) -> None:
+        server = self._servers.get(handle)
+        if server is not None:
+            server.in_flight += 1
+            server.attempts += 1
+            server.probe_out = server.probe_out or server.health.state is State.PROBING
+
+    def _over(self, handle: int) -> Server | None:
+        server = self._servers.get(handle)
+        if server is None or not server.in_flight:
+            return None
+        server.in_flight -= 1
+        return server
+
+    def succeeded(self, handle: int, now: datetime, took: timedelta) -> None:
+        server = self._over(handle)
+        if server is None:
+            return
+        server.latency.observe(now, took)
+        server.limit.answered(now, took, server.in_flight + 1)
+        self._well(server, now)
+        self._forget_if_done(server)
+
+    def _well(self, server: Server, now: datetime) -> None:
+        server.health.succeeded(now)
+        server.probe_out = False
+        if server.health.state is not State.EJECTED:
+            self._out.pop(server.handle, None)
+
+    def failed(self, handle: int, now: datetime, took: timedelta) -> None:
+        """It broke, could not be reached, or took too long. `took` counts where it is more than was known."""
+        server = self._over(handle)
+        if server is None:
+            return
+        if server.latency.value is not None and took > server.latency.value:
+            server.latency.observe(now, took)
+        server.limit.failed(now)
+        server.probe_out = False
+        if server.health.failed(now):
+            self._eject(server, now)
+        self._forget_if_done(server)
+
+    def refused(self, handle: int, now: datetime) -> None:
+        """The server turned it away: it lives, and has too much."""
+        server = self._over(handle)
+        if server is None:
+            return
+        server.refusals += 1
+        server.limit.failed(now)
+        if server.health.state is State.PROBING:
+            self._well(server, now)
+        self._forget_if_done(server)
+
+    def given_up(self, handle: int) -> None:
+        """Nobody waits for it any more; it tells nothing of the server."""
+        server = self._over(handle)
+        if server is not None:
+            server.probe_out = False
+            self._forget_if_done(server)
+
+    def _eject(self, server: Server, now: datetime) -> None:
+        out = sum(not one.leaving for one in self._out.values())
+        probed = server.health.state is State.PROBING
+        if not probed and out + 1 > self.settings.most_out * len(self._members):
+            self.spared += 1
+            server.health.spare(now)
+        else:
+            server.health.eject(now)
+            self._out[server.handle] = server
+
+    def booted(self, handle: int, boot: str, now: datetime) -> bool:
+        """The server told who it is in its present life; True where that is another than before.
+
+        What was learned of the life before says nothing of this one.
+        """
+        server = self._servers.get(handle)
+        if server is None:
+            return False
+        changed = server.boot is not None and server.boot != boot
+        server.boot, server.boot_seen = boot, now
+        if changed:
+            server.latency = PeakEwma(self.settings.fall)
+            server.limit = AdaptiveLimit(self.settings.limits)
+            server.health = Health(self.settings.health, now)
+            server.probe_out = False
+            self._out.pop(handle, None)
+        return changed
--- a/marlstep/traces/formats/__init__.py
+++ b/marlstep/traces/formats/__init__.py
@@ -18,6 +18,13 @@
     "generic": "generic",
 }
 
+# How late a row may come, in microseconds, where the format needs more than `order.WINDOW_US`.
+WINDOWS_US: Mapping[str, int] = {
+    "alibaba-2018-task": 60_000_000,  # whole seconds, and neighbours by job
+    "alibaba-2018-instance": 60_000_000,
+    "azure-2021": 600_000_000,  # in order of the end: late by as much as an invocation lasts
+}
+
 
 def named(name: str) -> Format:
     """The format of that name; KeyError where there is none. `generic` needs its columns as well."""
--- a/marlstep/traces/order.py
+++ b/marlstep/traces/order.py
@@ -15,8 +15,8 @@
 
 from marlstep.traces.rows import Arrival
 
-WINDOW_US = 300_000_000  # what the formats need: docs/traces.md names the disorder of each
-MOST_WAITING = 1_000_000  # rows inside the window; beyond it the older half goes out early
+WINDOW_US = 10_000_000  # where the format does not name a longer one
+MOST_WAITING = 100_000  # rows inside the window, some 40 MB; beyond it the older half goes out early
 LEAST_SORTED = 8_192
 GAP_US = 86_400_000_000  # no trace is silent for a day
 SURE = 64  # rows in a row that are ahead of all others by more than the gap are believed
@@ -91,9 +91,9 @@
             # Equal times stay together, so that a duplicate is never cut off from its twin.
             cut = bisect_left(waiting, (waiting[cut][0],)) or len(waiting)
         ready, self._waiting = waiting[:cut], waiting[cut:]
-        self._sort_at = max(LEAST_SORTED, min(self._most, 2 * len(self._waiting)))
-        if len(self._waiting) >= self._sort_at:
-            self._sort_at = len(self._waiting) + self._most // 2
+        # Sorted anew when as many have come as wait, so that each row is sorted a few times only.
+        kept = len(self._waiting)
+        self._sort_at = kept + max(LEAST_SORTED, min(kept, self._most - kept))
         if ready:
             self._floor = max(self._floor, ready[-1][0] + 1)
         return self._without_twins(ready)
--- a/marlstep/traces/reading.py
+++ b/marlstep/traces/reading.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
+from marlstep.traces.formats import WINDOWS_US
 from marlstep.traces.formats.base import Format, RowReader
 from marlstep.traces.lines import BOM, LINE_LIMIT, LineCutter, cells, plain
 from marlstep.traces.order import WINDOW_US, Reorder
@@ -90,7 +91,7 @@
     format: Format
     parts: Sequence[str]
     seed: int = 0
-    window_us: int = WINDOW_US
+    window_us: int | None = None  # None: what the format needs
     strict: bool = False
     on_reject: Callable[[Reject], None] = lambda reject: None
     on_progress: Callable[[int], None] = lambda size: None  # bytes that were read, after decompression
@@ -110,7 +111,8 @@
 
     def batches(self) -> Iterator[list[Arrival]]:
         """Arrivals in order of time, in batches of any size."""
-        order = Reorder(self.window_us)
+        window = WINDOWS_US.get(self.format.name, WINDOW_US) if self.window_us is None else self.window_us
+        order = Reorder(window)
         reader = self.format.make(self.seed)
         account = self.account
         try:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -15,6 +15,8 @@
     "marlstep.units": (),
     "marlstep.slots": (),
     "marlstep.timeline": (),
+    "marlstep.stall": ("marlstep.timeline",),
+    "marlstep.pool": ("marlstep.pool", "marlstep.slots", "marlstep.units"),
     "marlstep.net": ("marlstep.net", "marlstep.units"),
     "marlstep.core": ("marlstep.core", "marlstep.slots", "marlstep.timeline", "marlstep.units", "petrelcart"),
     "marlstep.fronts": (
@@ -69,6 +71,9 @@
 DECIDE = (
     "petrelcart/policy.py",
     "marlstep/core/keys.py",
+    "marlstep/pool/estimate.py",
+    "marlstep/pool/health.py",
+    "marlstep/pool/table.py",
     "marlstep/standins/cores.py",
     "marlstep/traces/mapping.py",
     "marlstep/traces/order.py",
@@ -91,7 +96,7 @@
 }
 # What a node that was told nothing more must not load: it lives in 32 MB.
 ABSENT = (
-    "argparse", "blake3", "click", "csv", "gzip", "hdrh", "marlstep.cli", "marlstep.standins",
+    "argparse", "blake3", "click", "csv", "gzip", "hdrh", "marlstep.cli", "marlstep.stall", "marlstep.standins",
     "marlstep.traces", "matplotlib", "multiprocessing", "numpy", "rich", "sqlite3", "structlog", "zstandard",
 )  # fmt: skip
 
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,302 @@
+"""The pool's decisions: estimates, limits, health and choice, over many small cases and on a clock moved by hand."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from datetime import datetime, timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from marlstep.pool.estimate import AdaptiveLimit, Floor, LimitSettings, PeakEwma
+from marlstep.pool.health import HealthSettings, State
+from marlstep.pool.table import PoolSettings, Server, ServerTable
+from marlstep.slots import TableFull
+from marlstep.units import EPOCH, MILLISECOND, SECOND, ZERO
+from tests.test_parsers import FIXED
+
+START = EPOCH + 1_800_000_000 * SECOND
+
+
+def pool(number: int, seed: int = 1, **other: object) -> ServerTable:
+    table = ServerTable(PoolSettings(**other), random.Random(seed))  # type: ignore[arg-type]
+    table.set_members([f"s{index}" for index in range(number)], START)
+    return table
+
+
+def one_of(table: ServerTable, name: str) -> Server:
+    server = table.named(name)
+    assert server is not None
+    return server
+
+
+def fail(table: ServerTable, name: str, now: datetime, times: int = 5) -> None:
+    server = one_of(table, name)
+    for _ in range(times):
+        table.begun(server.handle)
+        table.failed(server.handle, now, 10 * MILLISECOND)
+
+
+def take(table: ServerTable, now: datetime, number: int, took: timedelta = 10 * MILLISECOND) -> Counter[str]:
+    """So many requests one after another, each answered at once."""
+    found: Counter[str] = Counter()
+    for _ in range(number):
+        server = table.choose(now)
+        assert server is not None
+        found[server.name] += 1
+        table.begun(server.handle)
+        table.succeeded(server.handle, now, took)
+    return found
+
+
+# Estimates.
+
+
+def test_the_estimate_rises_at_once_and_falls_slowly() -> None:
+    mean = PeakEwma(fall=10 * SECOND)
+    mean.observe(START, 10 * MILLISECOND)
+    mean.observe(START, 90 * MILLISECOND)
+    assert mean.value == 90 * MILLISECOND
+    mean.observe(START + 10 * SECOND, 10 * MILLISECOND)
+    assert mean.value is not None and 39 * MILLISECOND < mean.value < 40 * MILLISECOND
+    assert mean.kept(START + 20 * SECOND) == pytest.approx(0.368, abs=0.001)
+    assert mean.kept(START) == 1.0  # a clock that is held back makes nothing older
+
+
+@FIXED
+@given(st.lists(st.tuples(st.integers(0, 5_000), st.integers(1, 500)), min_size=1, max_size=40))
+def test_an_estimate_lies_between_the_least_and_the_most_that_was_seen(
+    samples: list[tuple[int, int]],
+) -> None:
+    mean, floor, now, seen = PeakEwma(), Floor(), START, []
+    for wait, sample in samples:
+        now += wait * MILLISECOND
+        seen.append(sample * MILLISECOND)
+        mean.observe(now, seen[-1])
+        floor.observe(now, seen[-1])
+        assert mean.value is not None and min(seen) <= mean.value <= max(seen) and mean.value >= seen[-1]
+        assert floor.value is not None and min(seen) <= floor.value <= seen[-1]
+
+
+def test_the_floor_is_forgotten_after_two_windows() -> None:
+    floor = Floor(window=30 * SECOND)
+    floor.observe(START, 5 * MILLISECOND)
+    for second in range(1, 70):
+        floor.observe(START + second * SECOND, 50 * MILLISECOND)
+    assert floor.value == 50 * MILLISECOND
+
+
+def drive(limit: AdaptiveLimit, capacity: int, seconds: int, start: datetime) -> datetime:
+    """A server that does `capacity` requests in 20 ms each, and makes what is beyond wait its turn."""
+    now = start
+    for _ in range(seconds * 20):
+        now += 50 * MILLISECOND
+        in_flight = int(limit.value)
+        took = 20 * MILLISECOND * max(1.0, in_flight / capacity)
+        for _ in range(min(in_flight, 8)):
+            limit.answered(now, took, in_flight)
+    return now
+
+
+def test_the_limit_finds_what_a_server_can_do_and_follows_it() -> None:
+    limit = AdaptiveLimit(LimitSettings())
+    now = drive(limit, 40, 30, START)
+    assert 40 <= limit.value <= 90
+    drive(limit, 10, 30, now)  # it lost three quarters of what it could do
+    assert 8 <= limit.value <= 30
+
+
+def test_a_limit_that_no_load_tests_does_not_grow_and_failures_of_one_step_cut_once() -> None:
+    limit = AdaptiveLimit(LimitSettings(start=16))
+    now = START
+    for _ in range(200):
+        now += 50 * MILLISECOND
+        limit.answered(now, 20 * MILLISECOND, 1)
+    assert limit.value == 16
+    for _ in range(10):
+        limit.failed(now)
+    assert limit.value == pytest.approx(16 * 0.8)
+    for step in range(100):
+        limit.failed(now + step * SECOND)
+    assert limit.value == LimitSettings().least
+
+
+# Health.
+
+
+def test_failures_eject_and_the_time_out_doubles_until_a_probe_goes_well() -> None:
+    table = pool(4)
+    now, out = START, []
+    fail(table, "s0", now)
+    server = one_of(table, "s0")
+    for _ in range(7):
+        assert server.health.state is State.EJECTED and server.health.until is not None
+        out.append((server.health.until - now) / SECOND)
+        assert "s0" not in take(table, server.health.until - MILLISECOND, 40)
+        now = server.health.until
+        assert table.choose(now) is server
+        table.begun(server.handle)
+        assert table.choose(now) is not server  # one probe at a time
+        table.failed(server.handle, now, 10 * MILLISECOND)
+    assert out == [2, 4, 8, 16, 32, 60, 60]
+    assert server.health.until is not None
+    now = server.health.until
+    assert take(table, now, 1) == {"s0": 1} and server.health.state is State.HEALTHY
+
+
+def test_what_comes_back_starts_slowly() -> None:
+    table = pool(2, limits=LimitSettings(least=50, start=50))
+    for second in (0, 10):
+        take(table, START + second * SECOND, 1)
+    now = START + 100 * SECOND
+    fail(table, "s0", now)  # of two, none may be out: it stays
+    assert one_of(table, "s0").health.state is State.SUSPECT and table.spared == 1
+    table = pool(3, limits=LimitSettings(least=50, start=50))
+    server = one_of(table, "s0")
+    now = START + 100 * SECOND
+    fail(table, "s0", now)
+    now += 2 * SECOND
+    assert table.choose(now) is server
+    table.begun(server.handle)
+    table.succeeded(server.handle, now, 10 * MILLISECOND)
+    rooms = [table.room(server, now + second * SECOND) for second in (0, 5, 10)]
+    assert rooms == [5, 27, 50]
+
+
+def test_no_more_than_the_stated_share_is_ever_out() -> None:
+    table = pool(10)
+    for index in range(10):
+        fail(table, f"s{index}", START, times=20)
+    out = [server for server in table if server.health.state is State.EJECTED]
+    assert len(out) == 3 and table.spared >= 7
+    assert take(table, START, 50).total() == 50
+
+
+def test_another_life_of_a_server_is_known_for_nothing_that_the_last_one_did() -> None:
+    table = pool(3)
+    server = one_of(table, "s1")
+    assert not table.booted(server.handle, "a", START)
+    fail(table, "s1", START)
+    assert not table.booted(server.handle, "a", START)
+    states = [server.health.state]
+    assert table.booted(server.handle, "b", START)
+    assert [*states, server.health.state] == [State.EJECTED, State.NEW] and server.latency.value is None
+    assert table.booted(server.handle + (1 << 30), "c", START) is False
+
+
+# Choice.
+
+
+def test_the_quicker_server_gets_more_and_a_server_that_was_refused_gets_less() -> None:
+    table = pool(2)
+    now = START + 20 * SECOND
+    for name, took in (("s0", 10), ("s1", 40)):
+        server = one_of(table, name)
+        table.begun(server.handle)
+        table.succeeded(server.handle, now, took * MILLISECOND)
+    held: list[Server] = []
+    for _ in range(8):
+        chosen = table.choose(now)
+        assert chosen is not None
+        table.begun(chosen.handle)
+        held.append(chosen)
+    counts = Counter(server.name for server in held)
+    assert counts["s0"] > 2 * counts["s1"]
+    before = one_of(table, "s0").limit.value
+    table.refused(held[0].handle, now)
+    assert held[0].refusals == 1 and one_of(table, held[0].name).limit.value < before
+
+
+def test_where_all_are_full_nothing_is_chosen_and_the_work_waits() -> None:
+    table = pool(3, limits=LimitSettings(least=1, start=2), health=HealthSettings(slow_start=MILLISECOND))
+    now, held = START + SECOND, []
+    while (server := table.choose(now)) is not None:
+        table.begun(server.handle)
+        held.append(server.handle)
+    assert len(held) == 6
+    table.given_up(held[0])
+    assert table.choose(now) is not None
+    assert table.choose(now, frozenset(server.handle for server in table)) is None
+
+
+def test_the_same_seed_chooses_the_same_and_load_is_even() -> None:
+    counts = take(pool(50, seed=7), START + 20 * SECOND, 5_000)
+    assert counts == take(pool(50, seed=7), START + 20 * SECOND, 5_000)
+    assert min(counts.values()) > 50 and max(counts.values()) < 200
+
+
+def test_servers_come_and_go_and_what_they_have_ends_where_it_is() -> None:
+    table = pool(3)
+    server = one_of(table, "s0")
+    table.begun(server.handle)
+    assert table.set_members(["s1", "s2", "s3", "s3"], START) == (["s3"], ["s0"])
+    assert len(table) == 4 and server.leaving and "s0" not in take(table, START, 30)
+    assert table.set_members(["s0", "s1", "s2"], START) == (["s0"], ["s3"])
+    assert table.named("s0") is server and table.named("s3") is None
+    table.set_members(["s1"], START)
+    table.succeeded(server.handle, START, MILLISECOND)
+    assert table.named("s0") is None and len(table) == 1
+    table.succeeded(server.handle, START, MILLISECOND)  # late, and of nobody
+    with pytest.raises(TableFull):
+        table.set_members([f"x{index}" for index in range(2_000)], START)
+    assert len(table) == 1
+
+
+EVENTS = st.one_of(
+    st.tuples(st.just("choose"), st.integers(0, 4)),
+    st.tuples(st.just("ok"), st.integers(0, 40)),
+    st.tuples(st.just("fail"), st.integers(0, 40)),
+    st.tuples(st.just("refuse"), st.integers(0, 40)),
+    st.tuples(st.just("drop"), st.integers(0, 40)),
+    st.tuples(st.just("wait"), st.integers(1, 5_000)),
+    st.tuples(st.just("members"), st.integers(0, 255)),
+    st.tuples(st.just("boot"), st.integers(0, 7)),
+)
+
+
+@FIXED
+@given(st.lists(EVENTS, max_size=80), st.integers(0, 100))
+def test_whatever_happens_the_table_stays_sound(events: list[tuple[str, int]], seed: int) -> None:
+    table, now, held = pool(6, seed), START, list[int]()
+    for what, number in events:
+        match what:
+            case "choose":
+                without = frozenset(held[:number])
+                server = table.choose(now, without)
+                if server is not None:
+                    assert server.handle not in without and not server.leaving
+                    assert server.health.state is not State.EJECTED
+                    assert server.in_flight < max(1, server.limit.value)
+                    table.begun(server.handle)
+                    held.append(server.handle)
+                else:
+                    assert all(table.room(one, now) <= 0 or one.handle in without for one in table)
+            case "wait":
+                now += number * MILLISECOND
+            case "members":
+                table.set_members([f"s{index}" for index in range(8) if number >> index & 1], now)
+            case "boot":
+                if (known := table.named(f"s{number}")) is not None:
+                    table.booted(known.handle, str(number), now)
+            case _ if held:
+                handle = held.pop(number % len(held))
+                if what == "ok":
+                    table.succeeded(handle, now, number * MILLISECOND)
+                elif what == "fail":
+                    table.failed(handle, now, number * MILLISECOND)
+                elif what == "refuse":
+                    table.refused(handle, now)
+                else:
+                    table.given_up(handle)
+        assert sum(server.in_flight for server in table) == len(held)
+        members = [server for server in table if not server.leaving]
+        out = [server for server in members if server.health.state in (State.EJECTED, State.PROBING)]
+        assert set(out) <= set(table._out.values())
+        for server in table:
+            assert LimitSettings().least <= server.limit.value <= LimitSettings().most
+            assert 0 < server.health.weight(now) <= 1 and table.cost(server, now) > ZERO
+    for handle in held:
+        table.given_up(handle)
+    assert sum(server.in_flight for server in table) == 0 and not any(server.leaving for server in table)
--- /dev/null
+++ b/tests/test_stall.py
@@ -0,0 +1,30 @@
+"""A loop that does not come round says where it stands."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+PROGRAM = """
+from marlstep.stall import StallWatch
+from marlstep.timeline import Timeline
+from marlstep.units import MILLISECOND
+from tests.node import HandClock
+
+def stuck():
+    while True:
+        pass
+
+clock = HandClock()
+StallWatch(clock.timeline, 50 * MILLISECOND).look()
+clock.advance(500)  # it comes round ten times over, and nothing is said
+stuck()
+"""
+
+
+def test_a_loop_that_hangs_is_named_by_a_traceback() -> None:
+    with subprocess.Popen([sys.executable, "-c", PROGRAM], stderr=subprocess.PIPE, text=True) as program:
+        assert program.stderr is not None
+        lines = [program.stderr.readline() for _ in range(4)]
+        program.kill()
+    assert lines[0].startswith("Timeout") and any("in stuck" in line for line in lines)
