Mend the hang of a node when an id comes again under a cancelled run

Its log went silent at once; ruled out a full log pipe, the kernel link and due times. A fuzz of the core with few ids gave the hang in seconds: Controller.decide went round for ever in its loop over wakes.

Cause: a run that the kernel cancelled without a halt was answered by the core and told to the module as cancelled, which it took for paused. When a bad client sent that id again (they copy the ids of others), the older entry fell out of the ledger, was owed still, and its wake was put back again and again. Change: the core tells such an end as an error; an id that comes again takes the place of the one before; a wake counts only for the entry that the ledger holds. Three tests cause it, and each fails without the change; one asks that the module holds what the core holds.

--- a/marlstep/core/engine.py
+++ b/marlstep/core/engine.py
@@ -202,6 +202,10 @@
             request.stage = Stage.OVER
             self._answer(request, self._answer_for(request, outcome, result))
             self._pass_on(request, outcome, result)
+            if outcome is Outcome.CANCELLED:
+                # It was not halted, and is over here: told as cancelled, the module would take it for paused,
+                # and keep it beside a request that comes under its id later.
+                outcome = Outcome.ERROR
         self._post(RunEnded(id, outcome, span_us(elapsed)))
         self._release_if_over(request)
 
--- a/petrelcart/policy.py
+++ b/petrelcart/policy.py
@@ -129,13 +129,18 @@
                     self.allowed[event.tenant] = event.per_s / self.settings.peers
                 case _ if (entry := self.ledger.get(event.id)) and entry.state is not State.OVER:
                     self._progress(entry, event)
-        while self.wakes and (self.wakes[0][0] <= now_us or self.wakes[0][2].id not in self.ledger):
-            self._wake(heapq.heappop(self.wakes)[2])
+        while self.wakes and (self.wakes[0][0] <= now_us or not self._known(self.wakes[0][2])):
+            if self._known(entry := heapq.heappop(self.wakes)[2]):
+                self._wake(entry)
         self._make_calls()
         self._fill()
         self._arm()
         return self.actions
 
+    def _known(self, entry: Entry) -> bool:
+        """Whether the ledger holds this very entry, and not another that came under its id since."""
+        return self.ledger.get(entry.id) is entry
+
     def _arm(self) -> None:
         """Ask for a timer for the next thing due: a beat while something waits, else a second or a wake."""
         waits = any(self.by_state[state] for state in (State.HELD, State.STOPPING, State.AT_CALL))
@@ -149,6 +154,9 @@
         kind = self.kinds.get(event.kind)
         if kind is None:
             return self.actions.append(Refuse(event.id, 0, give_up=True))
+        if (old := self.ledger.get(event.id)) and old.state is not State.OVER:
+            old.owed = False  # the id comes again: whoever sends it is done with the one before
+            self._move(old, State.OVER)
         arrived = self.now - event.unread_us
         self.callers[event.caller] = (self.now, self.callers.get(event.caller, (0, 0))[1] + 1)
         self.lag += LEARN * (event.unread_us - self.lag)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -221,3 +221,17 @@
     desk.clock.advance(750)
     assert desk.verdicts(1) == [Verdict.EXPIRED]
     assert [request.id for request in desk.core._requests] == ["r2"]
+
+
+def test_a_run_that_ends_unasked_is_over_for_the_module_too() -> None:
+    # Guards against a hang of the whole node, seen on the bench twice: a run that was cancelled without a halt was
+    # answered here, while the module kept it as paused. When its id came again, the module lost the older entry from
+    # its ledger and went round for ever to look for its time.
+    desk = Desk(cores=1)
+    desk.submit(1)
+    desk.end(1, Outcome.CANCELLED)
+    assert desk.verdicts(1) == [Verdict.FAILED] and desk.core._controller._in_hand() == 0
+    desk.submit(1, "schedule-save")
+    desk.end(1)
+    desk.clock.advance(10_000)
+    assert desk.verdicts(1) == [Verdict.FAILED, Verdict.DONE] and desk.core.in_hand == 0
--- a/tests/test_core_properties.py
+++ b/tests/test_core_properties.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections import Counter
+from typing import Any
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from marlstep.core.engine import Refused
 from marlstep.core.model import Stage, Verdict
-from marlstep.units import SECOND
+from marlstep.units import MILLISECOND, SECOND
 from petrelcart.interface import Outcome
 from tests.node import Desk
+from tests.test_parsers import FIXED
 
 KINDS = ("temp-history", "schedule-save", "setpoint-cmd")
 STEPS = st.one_of(
@@ -96,3 +99,46 @@
         if given and given[0].verdict is Verdict.REFUSED:
             assert 0 * SECOND <= given[0].after <= SECOND
     assert core.unanswered == core.in_hand == 0
+
+
+IDS = st.integers(1, 6)
+TURNS = st.one_of(
+    st.tuples(st.just("submit"), IDS, st.sampled_from([0, 0, 5, 3_000, 1e12, -5_000])),
+    st.tuples(st.just("gone"), IDS, st.just(0)),
+    st.tuples(
+        st.just("end"), IDS, st.sampled_from([Outcome.OK, Outcome.MOOT, Outcome.CANCELLED, Outcome.ERROR])
+    ),
+    st.tuples(st.just("need"), IDS, st.just(0)),
+    st.tuples(st.just("called"), IDS, st.sampled_from(list(Outcome))),
+    st.tuples(st.just("wait"), st.sampled_from([0, 1, 20, 700, 3_000]), st.just(0)),
+)
+
+
+@FIXED
+@given(st.lists(TURNS, max_size=60), st.sampled_from(KINDS))
+def test_whatever_ids_come_again_the_module_holds_what_the_core_holds(
+    turns: list[tuple[str, int, Any]], kind: str
+) -> None:
+    """Bad clients copy the ids of others: an entry that only the module has would never end."""
+    desk = Desk(cores=1)
+    handles: dict[int, int] = {}
+    for what, number, how in turns:
+        match what:
+            case "submit":
+                with contextlib.suppress(Refused):
+                    handles[number] = desk.submit(number, kind, late_ms=how)
+            case "gone":
+                desk.core.client_gone(handles.get(number, 0))
+            case "end":
+                desk.core.run_ended(f"r{number}", how, MILLISECOND)
+            case "need":
+                desk.core.call_needed(f"r{number}", b"ask")
+            case "called":
+                desk.core.call_ended(f"r{number}", how)
+            case "wait":
+                desk.clock.advance(number)
+        desk.clock.settle()
+        module = desk.core._controller
+        held = {id: entry for entries in module.by_state.values() for id, entry in entries.items()}
+        assert all(module.ledger.get(id) is entry for id, entry in held.items())
+        assert held.keys() <= {request.id for request in desk.core._requests}
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,11 +1,13 @@
 """The ordinary path: each step of pre-emptive resume by class."""
 
 from petrelcart.interface import (
+    Arrival,
     Below,
     Call,
     CallEnded,
     CallNeeded,
     Effect,
+    Event,
     Health,
     IdleLimit,
     Outcome,
@@ -14,7 +16,8 @@
     SetTimer,
     TimerDue,
 )
-from tests.helpers import MS, START, Server, a_class
+from petrelcart.policy import Controller
+from tests.helpers import MS, START, Server, a_class, settings
 
 
 def test_the_first_turn_reports_good_health_and_asks_for_no_timer() -> None:
@@ -325,3 +328,21 @@
         server.arrive(f"odd{index}", caller=7)
         server.end(f"odd{index}", Outcome.MOOT, after_ms=1)
     assert server.controller._pace() == pace and server.controller._callers() == 1
+
+
+def test_an_id_that_comes_again_takes_the_place_of_the_one_before() -> None:
+    # Guards against an entry that is in a state's table and not in the ledger: its time was looked for without end.
+    controller = Controller(settings(cores=1), seed=1)
+    controller.decide(START, [])
+    twice: list[Event] = [
+        Arrival("a", "low", kb=10.0, caller=1, unread_us=0),
+        Arrival("b", "low", kb=10.0, caller=1, unread_us=0),
+    ]
+    controller.decide(START, twice)
+    controller.decide(START + MS, [Arrival("a", "high", kb=10.0, caller=1, unread_us=0)])
+    assert controller._in_hand() == 2 and controller.ledger["a"].kind.name == "high"
+    for step in range(1, 10):
+        controller.decide(START + step * 1_000 * MS, [])
+    assert all(
+        controller.ledger.get(id) is one for held in controller.by_state.values() for id, one in held.items()
+    )
