Give a replay its machine from outside, so a golden file holds on any machine

The golden file trace_reports.json holds "cores 10, python 3.11.7", and the digest of a report with these words. Cause: `replaying._report` read os.cpu_count() and the interpreter's version itself. Change: `machine_info.describe_this_machine` is called by the command and passed to `replay`; the test of the golden file gives it the recorded values. No byte of the golden file changes. Before: test_output_and_exit_codes_match_the_golden_file[trace_reports] failed here (6 cores) alone; now it passes. Looked for elsewhere: no other report or digest reads cores, Python's version or the host's name (`drill` uses the count only for its number of workers). tests/golden, cli, admission, traces, simulator, consensus and config: 3,257 passed with TZ=Asia/Kolkata, LC_ALL=C and one CPU. With PYTHONUTF8=0 and LC_ALL=POSIX collecting failed, as tests read files in the locale's encoding; they state UTF-8 now, and 4,981 tests are collected there.

--- a/marlstep/cli/trace/replay.py
+++ b/marlstep/cli/trace/replay.py
@@ -86,6 +86,7 @@
     On sockets a node process is started between stand-ins of the kernel, the tier below and a uwsgi server, all on
     loopback. Senders with retries count them with the first try.
     """
+    from marlstep.traces.replay import machine_info
     from marlstep.traces.replay.replaying import ReplayPlan
     from marlstep.traces.replay.replaying import replay as run
     from marlstep.traces.replay.settings import ReplayError, Settings
@@ -94,7 +95,8 @@
         with exit_on_error(ctx), Schedule(schedule) as opened:
             document = read_file(config, "--config", json.loads)
             settings = Settings(document, frontend, speed, call_us, nodes=nodes, late_us=max_late_us)
-            report = run(opened, ReplayPlan(settings, is_virtual, Retries(retries), seed, load, for_us))
+            plan = ReplayPlan(settings, is_virtual, Retries(retries), seed, load, for_us)
+            report = run(opened, plan, machine_info.describe_this_machine())
     except ReplayError as error:
         exit_unusable(ctx, error)
     if out_path is not None:
--- a/marlstep/traces/replay/replaying.py
+++ b/marlstep/traces/replay/replaying.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import os
-import platform
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -18,6 +16,7 @@
 from marlstep.traces.replay.campaign import Campaign
 from marlstep.traces.replay.figures import ServiceMetrics
 from marlstep.traces.replay.loopback import Loopback
+from marlstep.traces.replay.machine_info import MachineInfo
 from marlstep.traces.replay.settings import Settings
 from marlstep.traces.replay.virtual import VirtualReplay
 from marlstep.traces.retries import Retries
@@ -74,9 +73,14 @@
     return settings.cores * settings.speed * settings.nodes
 
 
-def replay(schedule: Schedule, plan: ReplayPlan) -> dict[str, Any]:
+def replay(schedule: Schedule, plan: ReplayPlan, machine: MachineInfo) -> dict[str, Any]:
     """Run a replay, and return its report as a JSON object.
 
+    Args:
+        schedule: What is sent, and when.
+        plan: How it is replayed.
+        machine: The machine that runs the replay; only the report uses it.
+
     Raises:
         ConfigError: The node's configuration is invalid.
         ReplayError: A process did not start, or exited before the first request.
@@ -94,7 +98,7 @@
         measurements = _Measurements(count_runs(machines, plan.settings.once).to_json(), None)
     else:
         measurements = _run_on_sockets(plan, campaign, requests)
-    return _report(schedule, plan, campaign, measurements, factor)
+    return _report(schedule, plan, campaign, measurements, factor, machine)
 
 
 def _new_virtual_replay(
@@ -114,7 +118,12 @@
 
 
 def _report(
-    schedule: Schedule, plan: ReplayPlan, campaign: Campaign, measurements: _Measurements, factor: float
+    schedule: Schedule,
+    plan: ReplayPlan,
+    campaign: Campaign,
+    measurements: _Measurements,
+    factor: float,
+    machine: MachineInfo,
 ) -> dict[str, Any]:
     settings, counts, lateness = plan.settings, campaign.counts, campaign.metrics.lateness
     late_us = lateness.get_value_at_percentile(LATENESS_PERCENTILE)
@@ -144,7 +153,7 @@
         "faster": factor,
         "load": plan.load,
         "seed": plan.seed,
-        "machine": {"cores": os.cpu_count(), "python": platform.python_version()},
+        "machine": machine.to_json(),
         "schedule": {name: schedule.header.get(name) for name in ("format", "seed", "sources", "settings")},
         **metrics,
     }
--- a/tests/admission/test_action_digests.py
+++ b/tests/admission/test_action_digests.py
@@ -9,7 +9,7 @@
 from tests.admission.random_server import STORED_NAMES, RandomServer, variants
 from tests.admission.record import DIGESTS, SEEDS_PER_DIGEST, SEEDS_PER_VARIANT, digests_of
 
-STORED: dict[str, list[str]] = json.loads(DIGESTS.read_text())
+STORED: dict[str, list[str]] = json.loads(DIGESTS.read_text("utf-8"))
 
 
 @pytest.mark.parametrize("variant", list(variants()))
--- a/tests/admission/test_limits.py
+++ b/tests/admission/test_limits.py
@@ -9,7 +9,7 @@
 ROOT = Path(__file__).parents[2]
 PACKAGE = "marlstep/admission"
 CONTROLLER = f"{PACKAGE}/controller.py"
-DECIDING: list[str] = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+DECIDING: list[str] = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text("utf-8"))["policy"]
 # Modules with types, counters and state, which make no decisions; docs/design.md gives the reason for each.
 DECIDES_NOTHING = {
     f"{PACKAGE}/{name}.py"
@@ -34,12 +34,12 @@
 
 
 def lines_of(name: str) -> list[str]:
-    return (ROOT / name).read_text().splitlines()
+    return (ROOT / name).read_text("utf-8").splitlines()
 
 
 def imported_by(name: str) -> set[str]:
     names = set()
-    for node in ast.walk(ast.parse((ROOT / name).read_text())):
+    for node in ast.walk(ast.parse((ROOT / name).read_text("utf-8"))):
         if isinstance(node, ast.Import):
             names |= {alias.name for alias in node.names}
         elif isinstance(node, ast.ImportFrom):
@@ -55,13 +55,13 @@
 @pytest.mark.parametrize("name", DECIDING)
 def test_deciding_files_contain_no_exception_from_formatter_or_linter(name: str) -> None:
     # These files are read during incidents, so none is exempt from the formatter or the linter.
-    text = (ROOT / name).read_text()
+    text = (ROOT / name).read_text("utf-8")
     assert "fmt:" not in text and "noqa" not in text and "ruff:" not in text and "isort:" not in text
     assert ";" not in text.replace("; ", "")  # one statement per line; in prose a space follows the semicolon
 
 
 def test_the_ruff_configuration_exempts_no_file_of_the_package() -> None:
-    ruff = tomllib.loads((ROOT / "pyproject.toml").read_text())["tool"]["ruff"]
+    ruff = tomllib.loads((ROOT / "pyproject.toml").read_text("utf-8"))["tool"]["ruff"]
     assert ruff["line-length"] == 110
     assert [name for name in ruff["lint"]["per-file-ignores"] if name.startswith(PACKAGE)] == []
     assert "exclude" not in ruff and "extend-exclude" not in ruff
@@ -74,7 +74,7 @@
 
 
 def test_the_design_page_names_every_file_that_does_not_decide() -> None:
-    design = (ROOT / "docs" / "design.md").read_text()
+    design = (ROOT / "docs" / "design.md").read_text("utf-8")
     described = {
         f"{PACKAGE}/__init__.py",
         *(name for name in DECIDES_NOTHING if f"`{Path(name).name}`" in design),
--- a/tests/cli/surface.py
+++ b/tests/cli/surface.py
@@ -18,6 +18,7 @@
 from marlstep.cli.main import call, marlstep
 from marlstep.config.traces import read_trace
 from marlstep.traces.default_mappings import DEFAULT_MAPPINGS
+from marlstep.traces.replay.machine_info import MachineInfo
 from marlstep.traces.settings_digest import settings_digest
 from tests.cli.trace_sections import COMPLETE, errors_of_unknown_keys, errors_of_wrong_values
 from tests.golden.everything import deterministic_tokens
@@ -27,6 +28,8 @@
 TRACE = str(ROOT / "examples" / "traces" / "google-2011.csv")
 GOLDEN = ROOT / "tests" / "golden" / "data" / "cli"
 HELP_WIDTH = 100  # characters
+DESCRIBE_MACHINE = "marlstep.traces.replay.machine_info.describe_this_machine"
+RECORDED_MACHINE = MachineInfo(cores=10, python="3.11.7")  # stated in the golden reports of replays
 
 
 def read_golden(name: str) -> Any:
@@ -178,9 +181,8 @@
 
 def trace_reports(folder: Path) -> dict[str, Any]:
     """Return the text and JSON output of the commands of `trace`, and the digests of the files that they write."""
-    with contextlib.chdir(
-        folder
-    ):  # so that paths are short: the table of `report` shows only the end of long ones
+    # In the folder paths are short: the table of `report` shows only the end of long ones.
+    with contextlib.chdir(folder), patch(DESCRIBE_MACHINE, return_value=RECORDED_MACHINE):
         return _trace_reports(folder)
 
 
--- a/tests/cli/test_trace.py
+++ b/tests/cli/test_trace.py
@@ -5,11 +5,13 @@
 import json
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 import pytest
 
 from marlstep.cli.main import call
 from marlstep.traces.formats import format_by_name
+from marlstep.traces.replay.machine_info import MachineInfo
 from marlstep.traces.schedule import Schedule
 
 EXAMPLES = Path(__file__).parent.parent.parent / "examples" / "traces"
@@ -26,7 +28,7 @@
     assert (report["rows"], report["good"], report["bad"]) == (833, 826, 7)
     assert report["bad_by_reason"]["open-quote"] == 1 and report["duplicates"] == 1
     assert set(report["classes"]) == {"temp-history", "schedule-save", "setpoint-cmd"}
-    assert len(rejects.read_text().splitlines()) == 8
+    assert len(rejects.read_text("utf-8").splitlines()) == 8
     assert call([*arguments[:4], "--strict", source]) == 3
     assert call([*arguments[:4], str(tmp_path / "none")]) == 2
     empty = tmp_path / "empty"
@@ -83,7 +85,7 @@
         )
         == 0
     )
-    assert "service" in capsys.readouterr().out and "data:image/png;base64," in page.read_text()
+    assert "service" in capsys.readouterr().out and "data:image/png;base64," in page.read_text("utf-8")
     assert call(["trace", "report", out, out]) == 2
     assert call(["trace", "replay", str(ROOT / "README.md")]) == 2
     assert call(["trace", "replay", "--config", str(ROOT / "README.md"), out]) == 2
@@ -101,3 +103,15 @@
     assert 0.1 < report["keep"] < 0.9 and report["seconds"] == 7.5
     assert call(["trace", "compile", "--format", "google-2011", "--out", out, "-"]) == 2
     assert format_by_name("google-2011").columns[0] == "time"
+
+
+@pytest.mark.parametrize("machine", [MachineInfo(6, "3.12.1"), MachineInfo(None, "3.11.7")])
+def test_a_replay_reports_the_machine_that_it_is_given(machine: MachineInfo, tmp_path: Path) -> None:
+    # Guards against reports that read the machine themselves, which made a golden file hold for one machine only.
+    schedule, out = str(tmp_path / "a.sched"), tmp_path / "a.json"
+    source = str(EXAMPLES / "google-2011.csv")
+    assert call(["trace", "compile", "--format", "google-2011", "--out", schedule, source]) == 0
+    with patch("marlstep.traces.replay.machine_info.describe_this_machine", return_value=machine):
+        options = ["--virtual", "--for", "1s", "--speed", "5", "--config", str(ROOT / "deploy" / "node.json")]
+        assert call(["trace", "replay", *options, "--out", str(out), schedule]) == 0
+    assert json.loads(out.read_text("utf-8"))["machine"] == machine.to_json()
--- a/tests/cluster/test_admin.py
+++ b/tests/cluster/test_admin.py
@@ -22,7 +22,7 @@
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
     """Frames that no node of the cluster has sent are dropped and counted, and do not change its state."""
-    settings = Settings(json.loads(CONFIG.read_text()))
+    settings = Settings(json.loads(CONFIG.read_text("utf-8")))
 
     async def drill() -> None:
         async with ProcessCluster(make_plan(21, 2_000), settings, tmp_path) as rig:
--- a/tests/cluster/test_health_checks.py
+++ b/tests/cluster/test_health_checks.py
@@ -79,7 +79,7 @@
     ports = Ports()
     steady, other, ejected = (PoolServer(ports.take()) for _ in range(3))
     pool = tuple(f"127.0.0.1:{server.port}" for server in (steady, other, ejected))
-    settings = Settings(json.loads(CONFIG.read_text()), tasks={}, pool=pool)
+    settings = Settings(json.loads(CONFIG.read_text("utf-8")), tasks={}, pool=pool)
 
     async def drill() -> list[int]:
         await steady.open()
--- a/tests/cluster/test_process_drills.py
+++ b/tests/cluster/test_process_drills.py
@@ -125,7 +125,7 @@
         "stuck": {"every_ms": 400, "class": "schedule-save", "longest_ms": 250},
         "well": {"every_ms": 250, "class": "schedule-save", "longest_ms": 250},
     }
-    settings = Settings(json.loads(CONFIG.read_text()), tasks=tasks, hang=("stuck",))
+    settings = Settings(json.loads(CONFIG.read_text("utf-8")), tasks=tasks, hang=("stuck",))
 
     async def drill() -> TaskCounts:
         async with ProcessCluster(make_plan(20, 5_000), settings, tmp_path) as rig:
--- a/tests/config/test_checking.py
+++ b/tests/config/test_checking.py
@@ -139,7 +139,7 @@
 
 
 def test_the_deploy_file_has_all_sections_and_names_existing_paths() -> None:
-    deploy = tomllib.loads((DEPLOY / "balancer.toml").read_text())
+    deploy = tomllib.loads((DEPLOY / "balancer.toml").read_text("utf-8"))
     assert {"build", "run", "sim", "policy", "node", "packages"} <= set(deploy)
     for path in [*deploy["policy"], *deploy["node"]]:
         assert (DEPLOY.parent / path).exists()
--- a/tests/golden/conversation.py
+++ b/tests/golden/conversation.py
@@ -69,7 +69,7 @@
         return document
 
     def load(self) -> dict[str, Golden]:
-        return {name: Golden(**row) for name, row in json.loads(self.path.read_text()).items()}
+        return {name: Golden(**row) for name, row in json.loads(self.path.read_text("utf-8")).items()}
 
     def read_frame(self, frame: bytes) -> object:
         """Return the message of a frame that holds exactly one."""
--- a/tests/golden/snapshots.py
+++ b/tests/golden/snapshots.py
@@ -141,5 +141,5 @@
 
 
 def load() -> dict[str, str]:
-    stored: dict[str, str] = json.loads(PATH.read_text())
+    stored: dict[str, str] = json.loads(PATH.read_text("utf-8"))
     return stored
--- a/tests/hot_restart/test_process_races.py
+++ b/tests/hot_restart/test_process_races.py
@@ -51,7 +51,7 @@
         """Send SIGSTOP and wait until the operating system has stopped the process."""
         self.signal(signal.SIGSTOP)
         path = Path(f"/proc/{self.process.subprocess.pid}/stat")
-        await until(lambda: path.read_text().rpartition(")")[2].split()[0] == "T")
+        await until(lambda: path.read_text("utf-8").rpartition(")")[2].split()[0] == "T")
 
     @asynccontextmanager
     async def while_stopped(self) -> AsyncIterator[None]:
--- a/tests/membership/test_process_drills.py
+++ b/tests/membership/test_process_drills.py
@@ -40,7 +40,7 @@
     async def drill() -> tuple[float, float]:
         await servers.open(ports)
         pool = (f"127.0.0.1:{servers.ports[0]}",)
-        config = json.loads(CONFIG.read_text())
+        config = json.loads(CONFIG.read_text("utf-8"))
         settings = Settings(config, tasks={}, pool=pool, rules=rules, tenants={"riad": 40.0})
         async with ProcessCluster(
             Plan(63, NODES[:5], NODES[:3], 0, (1.0,) * 5, ()), settings, tmp_path
@@ -114,7 +114,7 @@
 def test_operators_list_remove_readmit_and_confirm_members(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    settings = Settings(json.loads(CONFIG.read_text()), members=True)
+    settings = Settings(json.loads(CONFIG.read_text("utf-8")), members=True)
 
     async def drill() -> None:
         async with ProcessCluster(
--- a/tests/races/test_crossings_page.py
+++ b/tests/races/test_crossings_page.py
@@ -14,7 +14,11 @@
 def find_test_functions(package: str) -> set[str]:
     """Return the names of the test functions in a package under `tests`."""
     paths = [path for path in (ROOT / "tests" / package).glob("test_*.py") if path.name != OWN_FILE]
-    return {name for path in paths for name in re.findall(r"^def (test_\w+)", path.read_text(), re.MULTILINE)}
+    return {
+        name
+        for path in paths
+        for name in re.findall(r"^def (test_\w+)", path.read_text("utf-8"), re.MULTILINE)
+    }
 
 
 def test_each_test_that_the_page_names_exists() -> None:
--- a/tests/replicated_config/test_process_drills.py
+++ b/tests/replicated_config/test_process_drills.py
@@ -130,7 +130,7 @@
         await servers.open(ports)
         rules: dict[str, dict[str, Any]] = {"servers": {"kind": "servers", "cut_off": "keep"}}
         pool = (f"127.0.0.1:{servers.ports[0]}",)
-        settings = Settings(json.loads(CONFIG.read_text()), tasks={}, pool=pool, rules=rules)
+        settings = Settings(json.loads(CONFIG.read_text("utf-8")), tasks={}, pool=pool, rules=rules)
         async with ProcessCluster(
             Plan(40, NODES, NODES[:3], 0, (1.0,) * 5, ()), settings, tmp_path
         ) as cluster:
--- a/tests/test_import_cycles.py
+++ b/tests/test_import_cycles.py
@@ -56,7 +56,7 @@
     graph = {}
     for module, path in modules.items():
         is_package = path.name == "__init__.py"
-        imported = modules.keys() & set(imported_names(module, is_package, path.read_text()))
+        imported = modules.keys() & set(imported_names(module, is_package, path.read_text("utf-8")))
         loaded = {package for target in imported for package in parent_packages(target)}
         graph[module] = (imported | loaded - parent_packages(module)) - {module}
     return graph
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -387,7 +387,7 @@
 
 def imported_modules(path: Path) -> set[str]:
     found: set[str] = set()
-    for node in ast.walk(ast.parse(path.read_text())):
+    for node in ast.walk(ast.parse(path.read_text("utf-8"))):
         if isinstance(node, ast.ImportFrom):
             found.add(node.module or "")
         elif isinstance(node, ast.Import):
