Read the packet of an accepted uwsgi connection in a drain

Cause: `uwsgi_policy.closes_at_drain` closed each connection without an open request or a partly read packet, so also one whose packet had arrived and was not read yet. Evidence: the case traced in the issue: packet written at 54.164, shutdown at 54.163, a clean end 2 ms later. No reset, so not the queue of a shared address; no time-out; both processes lived. Change: a drain closes no uwsgi connection. One that sends nothing closes at its read timeout, at the end of its stream, to make room, or at the process's exit. A request read after the core's last responses is answered before the exit (`DrainController._poll`). Tests: 4 of the new cases in tests/frontends/test_uwsgi.py failed before (packet not begun, with and without a successor; a silent connection closed before its timeout).

--- a/marlstep/core/drain.py
+++ b/marlstep/core/drain.py
@@ -124,14 +124,14 @@
         log.info(
             "shutdown started: in_flight=%d unanswered=%d", len(self._requests), self._responses.unanswered
         )
-        self._timeline.at(self.stops_at - STOP_MARGIN, self._respond_to_all)
+        self._timeline.at(self.stops_at - STOP_MARGIN, self.respond_to_all)
 
     def _stop_accepting(self) -> None:
         for frontend in self._frontends:
             frontend.stop_accepting()
         self.on_accepting_stopped()
 
-    def _respond_to_all(self) -> None:
+    def respond_to_all(self) -> None:
         """Respond to all open requests. This is a fallback: the controller normally has responded earlier."""
         for request in self._requests:
             self._responses.respond_without_outcome(request)
--- a/marlstep/drain.py
+++ b/marlstep/drain.py
@@ -125,6 +125,8 @@
         """End once all responses are sent, connections closed and components idle, or shortly before the stop time."""
         core, now = self._core, self._timeline.now()
         out_of_time = core.stops_at is not None and now >= core.stops_at - EXIT_MARGIN
+        if out_of_time:
+            core.respond_to_all()  # requests that were read after the core had responded to all others
         if out_of_time or not self._is_busy():
             self._on_drained()
         else:
--- a/marlstep/frontends/uwsgi.py
+++ b/marlstep/frontends/uwsgi.py
@@ -95,9 +95,7 @@
             self.finish()
 
     def drain(self) -> None:
-        """Close, unless a request is open or its packet is partly read; such a packet is still completed and served."""
-        if uwsgi_policy.closes_at_drain(len(self._request_handles), self._packets.inside_packet):
-            self.finish()
+        """Stay open: the only request of the connection is open, or is still read within the read timeout."""
 
 
 def no_pool(_request_class: str) -> str:
--- a/tests/frontends/test_uwsgi.py
+++ b/tests/frontends/test_uwsgi.py
@@ -92,6 +92,48 @@
     assert status(served) == status(partly_sent) == 200
 
 
+@pytest.mark.parametrize("has_successor", [False, True])
+@pytest.mark.parametrize("bytes_before", [0, 1, 9])
+def test_a_packet_read_after_the_frontend_stopped_accepting_is_served(
+    bytes_before: int, has_successor: bool
+) -> None:
+    # Guards against a drain that closes an accepted connection whose packet it has not read yet.
+    harness = UwsgiHarness()
+    packet, core, now = write_packet(READ_VARIABLES), harness.node.core, harness.node.clock.now()
+    connection = harness.connect()
+    connection.feed(packet[:bytes_before])
+    if has_successor:
+        core.begin_hand_over(now + 3 * SECOND)
+    else:
+        core.drain(now + 3.2 * SECOND)
+        harness.frontend.stop_accepting()
+    harness.node.clock.settle()
+    harness.node.clock.settle()
+    assert harness.frontend.draining
+    connection.feed(packet[bytes_before:])
+    harness.node.clock.settle()
+    harness.end_run()
+    assert connection.take() == RESPONSE and connection.closed
+
+
+def test_a_connection_that_sends_nothing_closes_at_its_read_timeout_in_a_drain_too() -> None:
+    harness = UwsgiHarness()
+    connection = harness.connect()
+    harness.frontend.stop_accepting()
+    harness.node.clock.advance(1_900)
+    assert not connection.closed
+    harness.node.clock.advance(200)
+    assert connection.closed and not connection.written
+
+
+def test_a_connection_whose_client_ends_it_without_a_packet_closes_in_a_drain() -> None:
+    harness = UwsgiHarness()
+    connection = harness.connect()
+    harness.frontend.stop_accepting()
+    connection.stream.eof_received()
+    assert connection.closed and not connection.written
+
+
 def test_a_request_that_arrives_over_2500_ms_after_the_drain_began_is_not_run() -> None:
     harness = UwsgiHarness()
     harness.node.core.drain(harness.node.clock.now() + 3.2 * SECOND)
