Empty the backlog before a listening socket closes

What callers saw: a connection in the backlog of a listener that stops accepting was reset, with the request on it. Every listener with a socket of its own: RESP without a passed socket, uwsgi. Cause: `after_reading` gives the loop two iterations, and the loop accepts one connection in each (measured: 20 connections waiting were accepted in 20 iterations). Change: the socket closes when a poll finds its backlog empty; until then the loop goes on accepting, for at most as many iterations as the backlog is long, and the process does not exit. A passed socket closes at once, as its backlog belongs to the successor too.

--- a/marlstep/drain.py
+++ b/marlstep/drain.py
@@ -134,6 +134,10 @@
 
     def _is_busy(self) -> bool:
         connections = self._frontends.connection_count()
-        if connections or any(component.busy for component in self._components.values()):
+        if (
+            connections
+            or self._frontends.listening
+            or any(component.busy for component in self._components.values())
+        ):
             return True
         return bool(self._core.unanswered or self._core.in_grace)
--- a/marlstep/frontend_group.py
+++ b/marlstep/frontend_group.py
@@ -72,6 +72,11 @@
             if isinstance(frontend, Listener):
                 frontend.accept_again()
 
+    @property
+    def listening(self) -> bool:
+        """Whether a frontend still accepts connections, also from its backlog after `stop_accepting`."""
+        return any(frontend.listening for frontend in self.all if isinstance(frontend, Listener))
+
     def connection_count(self) -> int:
         """Count the open connections of all frontends."""
         return sum(len(frontend.connections) for frontend in self.all if isinstance(frontend, Listener))
--- a/marlstep/frontends/base.py
+++ b/marlstep/frontends/base.py
@@ -23,6 +23,7 @@
 import asyncio
 import logging
 import os
+import select
 import socket
 from datetime import timedelta
 
@@ -185,6 +186,7 @@
         self._idle_sweep: Timer | None = None
         self._rejected_connections = 0
         self._server: asyncio.Server | None = None
+        self._is_socket_passed = False
 
     def make(self) -> Connection:
         """Create the connection object for a peer that has connected."""
@@ -217,6 +219,7 @@
             duplicate = socket.socket(fileno=os.dup(passed))
             self._server = await loop.create_server(self.make, sock=duplicate, backlog=PASSED_BACKLOG)
         self.port = int(self._server.sockets[0].getsockname()[1])
+        self._is_socket_passed = passed is not None
 
     # Connection slots and idle connections.
 
@@ -289,13 +292,33 @@
             connection.send_response(number, response)
 
     def stop_accepting(self) -> None:
-        """Close the listening socket and drain all connections."""
+        """Drain all connections, and close the listening socket once the connections in its backlog are accepted."""
         self.draining = True
-        if self._server is not None:
-            self._server.close()
+        self._close_listening_socket(LISTEN_BACKLOG)
         for connection in self.connections:
             connection.drain()
 
+    def _close_listening_socket(self, max_accepts: int) -> None:
+        """Close the socket when its backlog is empty, or after `max_accepts` more iterations of the event loop.
+
+        The system resets the connections in the backlog of a socket that is closed, and the loop accepts only one
+        connection in each iteration. A passed socket is closed at once: its backlog is that of another process too.
+        """
+        if self._server is None or not self.draining:
+            return
+        if max_accepts > 0 and not self._is_socket_passed and self._has_backlog():
+            self.timeline.soon(lambda: self._close_listening_socket(max_accepts - 1))
+        else:
+            self._server.close()
+
+    def _has_backlog(self) -> bool:
+        """Whether connections wait to be accepted on the listening socket."""
+        assert self._server is not None
+        poll = select.poll()
+        for listening in self._server.sockets:
+            poll.register(listening.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def accept_again(self) -> None:
         """End the draining state, so that `listen` can be called again after `stop_accepting`."""
         self.draining = False
--- a/tests/races/test_shutdown_and_reload.py
+++ b/tests/races/test_shutdown_and_reload.py
@@ -97,6 +97,34 @@
     run_with_node(tmp_path, run)
 
 
+def test_all_connections_in_the_backlog_at_the_end_of_the_grace_get_responses(tmp_path: Path) -> None:
+    # Guards against a listening socket that closes with connections in its backlog: the loop accepts one at a time.
+    tags = range(1, 7)
+
+    async def run(harness: NodeHarness) -> None:
+        async def end_runs() -> None:
+            for tag in tags:
+                await harness.kernel.command_read("SCHED", tag)
+                harness.kernel.end_run(tag)
+
+        await harness.send_sigterm()
+        await harness.advance(GRACE_MS - 200)
+        unread_sockets = {tag: harness.connect_unread() for tag in tags}
+        client = RespClient(harness.waker.now, None, None)  # type: ignore[arg-type]
+        for tag, unread_socket in unread_sockets.items():
+            unread_socket.sendall(client.frame(tag, "ping"))
+        harness.advance_unread(400 * MILLISECOND)  # the loop is late: its timers run before it reads
+        callers = {tag: await harness.adopt(unread_socket) for tag, unread_socket in unread_sockets.items()}
+        ending_runs = asyncio.create_task(end_runs())
+        for tag in tags:
+            await callers[tag].response(tag)  # of any status; fails if the connection is closed without one
+        ending_runs.cancel()
+        await until(lambda: not harness.node.resp.listening)
+        await harness.run_to_exit()
+
+    run_with_node(tmp_path, run)
+
+
 def test_a_request_read_but_not_admitted_at_sigterm_runs(tmp_path: Path) -> None:
     async def run(harness: NodeHarness) -> None:
         submit = harness.core.submit
