Answer accepted operators' requests before the process exits

What callers saw: a request to the administration API or the health endpoint that crossed the exit of a process ended without a byte or was reset; in an upgrade both processes share the API's address. Cause: at the exit the listening socket was closed with its backlog, and `HttpConnection.drain` closed accepted connections without having read them. A frontend also counts as accepting until the loop has opened the connection that it accepted last: one that was closed before `opened` was called was neither in the table nor answered (seen in the new test).

--- a/marlstep/admin/http.py
+++ b/marlstep/admin/http.py
@@ -1,15 +1,17 @@
 """HTTP/1.1 server with one request per connection, for the administration API and the health endpoint.
 
 A connection that has not sent a complete request is closed after a timeout, or earlier if such connections fill a
-quarter of the connection table, the oldest first. So clients that send nothing can't block complete requests.
+quarter of the connection table, the oldest first. So clients that send nothing can't block complete requests. When the
+node stops, accepted connections are still read and answered for a short time.
 """
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
 from dataclasses import dataclass
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import NamedTuple
 
 import httptools
@@ -19,12 +21,14 @@
 from marlstep.errors import MarlstepError
 from marlstep.frontends.base import Connection, Listener
 from marlstep.timer_queue import TimerQueue
+from marlstep.units import MILLISECOND
 
 log = logging.getLogger(__name__)
 
 RING_SIZE = 2 * 1024  # bytes; may be smaller than a request, as the parser is incremental
 MAX_HEAD_BYTES = 8 * 1024
 MAX_BODY_BYTES = 4 * 1024
+FINISH_POLL_INTERVAL = 2 * MILLISECOND  # between checks for open connections while the service finishes
 TEXT_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"  # Prometheus text format
 JSON_CONTENT_TYPE = "application/json"
 REASONS = {
@@ -167,8 +171,7 @@
         self.finish()
 
     def drain(self) -> None:
-        """Close the connection, as the node shuts down."""
-        self.finish()
+        """Stay open: the request is answered as soon as it is complete. `HttpService.finish` bounds the wait."""
 
 
 class HttpService(Listener):
@@ -191,6 +194,28 @@
         """Create the connection for a client that has connected."""
         return HttpConnection(self)
 
+    async def finish(self, limit: timedelta) -> None:
+        """Stop accepting, answer the requests on accepted connections, and close the connections.
+
+        Args:
+            limit: time after which connections without a complete request are closed unanswered.
+        """
+        self.stop_accepting()
+        finished = asyncio.get_running_loop().create_future()
+        self._complete_when_idle(self.timeline.now() + limit, finished)
+        await finished
+        for connection in self.connections:
+            connection.finish()
+
+    def _complete_when_idle(self, at_latest: datetime, finished: asyncio.Future[None]) -> None:
+        now = self.timeline.now()
+        if (self.accepting or len(self.connections)) and now < at_latest:
+            self.timeline.at(
+                now + FINISH_POLL_INTERVAL, lambda: self._complete_when_idle(at_latest, finished)
+            )
+        else:
+            finished.set_result(None)
+
     def serve(self, request: HttpRequest) -> HttpResponse:
         """Return the response to a request. Raises HttpError to respond with an error."""
         raise NotImplementedError
--- a/marlstep/components/admin.py
+++ b/marlstep/components/admin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from datetime import timedelta
 from typing import TYPE_CHECKING, ClassVar
 
 from marlstep.admin.api import AdminApi
@@ -37,9 +38,9 @@
         await self.service.listen(config.admin.listen, shared=reuse_address)
         log.info("listening: component=admin address=%s:%d", *config.admin.listen)
 
-    def stop(self) -> None:
-        """Stop listening."""
-        self.service.stop_accepting()
+    async def finish_requests(self, limit: timedelta, /) -> None:
+        """Stop listening, and answer the requests on accepted connections."""
+        await self.service.finish(limit)
 
 
 def make(host: AdminHost) -> AdminComponent:
--- a/marlstep/components/base.py
+++ b/marlstep/components/base.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import enum
-from datetime import datetime
+from datetime import datetime, timedelta
 from typing import TYPE_CHECKING, Any, ClassVar, Protocol
 
 if TYPE_CHECKING:
@@ -85,6 +85,9 @@
         """Whether it still has work to finish before this process exits."""
         return False
 
+    async def finish_requests(self, limit: timedelta, /) -> None:
+        """Stop accepting operators' requests, and answer the accepted ones within `limit`."""
+
     def stop(self) -> None:
         """Release immediately everything that needs no waiting, when the node shuts down."""
 
--- a/marlstep/components/health_endpoint.py
+++ b/marlstep/components/health_endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from datetime import timedelta
 from typing import TYPE_CHECKING, ClassVar
 
 from marlstep.admin.health_endpoint import HealthEndpoint
@@ -38,9 +39,9 @@
         await self.service.listen(config.health_listen)
         log.info("listening: component=health_endpoint address=%s:%d", *config.health_listen)
 
-    def stop(self) -> None:
-        """Stop listening."""
-        self.service.stop_accepting()
+    async def finish_requests(self, limit: timedelta, /) -> None:
+        """Stop listening, and answer the requests on accepted connections."""
+        await self.service.finish(limit)
 
 
 def make(host: HealthEndpointHost) -> HealthEndpointComponent:
--- a/marlstep/drain.py
+++ b/marlstep/drain.py
@@ -136,7 +136,7 @@
         connections = self._frontends.connection_count()
         if (
             connections
-            or self._frontends.listening
+            or self._frontends.accepting
             or any(component.busy for component in self._components.values())
         ):
             return True
--- a/marlstep/frontend_group.py
+++ b/marlstep/frontend_group.py
@@ -73,9 +73,9 @@
                 frontend.accept_again()
 
     @property
-    def listening(self) -> bool:
+    def accepting(self) -> bool:
         """Whether a frontend still accepts connections, also from its backlog after `stop_accepting`."""
-        return any(frontend.listening for frontend in self.all if isinstance(frontend, Listener))
+        return any(frontend.accepting for frontend in self.all if isinstance(frontend, Listener))
 
     def connection_count(self) -> int:
         """Count the open connections of all frontends."""
--- a/marlstep/frontends/base.py
+++ b/marlstep/frontends/base.py
@@ -187,6 +187,7 @@
         self._rejected_connections = 0
         self._server: asyncio.Server | None = None
         self._is_socket_passed = False
+        self._is_opening_last_connections = False  # accepted before the listening socket was closed
 
     def make(self) -> Connection:
         """Create the connection object for a peer that has connected."""
@@ -197,6 +198,11 @@
         """Whether new connections are accepted."""
         return self._server is not None and self._server.is_serving()
 
+    @property
+    def accepting(self) -> bool:
+        """Whether connections are still added to the table, also after the listening socket was closed."""
+        return self.listening or self._is_opening_last_connections
+
     async def listen(self, address: tuple[str, int], passed: int | None = None, shared: bool = False) -> None:
         """Start accepting connections.
 
@@ -308,8 +314,14 @@
             return
         if max_accepts > 0 and not self._is_socket_passed and self._has_backlog():
             self.timeline.soon(lambda: self._close_listening_socket(max_accepts - 1))
-        else:
+        elif self._server.is_serving():
             self._server.close()
+            # The loop calls `Connection.opened` of the connection that it accepted last in its next iteration.
+            self._is_opening_last_connections = True
+            self.timeline.after_reading(self._last_connections_opened)
+
+    def _last_connections_opened(self) -> None:
+        self._is_opening_last_connections = False
 
     def _has_backlog(self) -> bool:
         """Whether connections wait to be accepted on the listening socket."""
--- a/marlstep/node.py
+++ b/marlstep/node.py
@@ -16,7 +16,7 @@
 from marlstep.components.registry import REGISTRY
 from marlstep.config import Config, ConfigError, load
 from marlstep.core.engine import Core, Ports
-from marlstep.drain import DrainController
+from marlstep.drain import EXIT_MARGIN, DrainController
 from marlstep.frontend_group import FrontendGroup
 from marlstep.frontends.resp import RespFrontend
 from marlstep.net.eventloop import LoopWaker
@@ -31,6 +31,8 @@
 
 log = logging.getLogger("marlstep")
 
+# For operators' requests at the exit. Shorter than EXIT_MARGIN, so that the process is not killed meanwhile.
+OPERATOR_REQUESTS_TIMEOUT = EXIT_MARGIN / 2
 EXIT_OK = 0
 EXIT_ADDRESS_UNAVAILABLE = 1
 EXIT_CONFIG_INVALID = 2
@@ -140,6 +142,10 @@
             self.core.in_flight,
             format_counters(self.core.counts),
         )
+        finishing = (
+            component.finish_requests(OPERATOR_REQUESTS_TIMEOUT) for component in self.components.values()
+        )
+        await asyncio.gather(*finishing)
         for component in self.components.values():
             component.stop()
         self.kernel.close()
