Number orders so that no other process returns its own result for one

Cause: order numbers counted from 1 in each process, and both processes answer at one address. Change: a number contains 32 bits of the process's random id and stays a JSON integer, so readers of `fleet/asked` of today find nothing at the other process. The command line asks until the process that took the order answers; a lost connection or an unknown order ends with the new exit code 4, and `rules put` reads what came into force: done 0, not done 2, unknown 4. A process of the older version at the other end is asked as before. The help text gains the line of exit code 4.

--- a/marlstep/cli/admin_client.py
+++ b/marlstep/cli/admin_client.py
@@ -21,11 +21,16 @@
     OptionError,
     OrderRejectedError,
     OrderTimeoutError,
+    OrderUnknownError,
 )
 from marlstep.cli.output import JsonObject
+from marlstep.cluster.order_tracker import UNKNOWN_REASON, OrderState
 
 ORDER_TIMEOUT_S = 10.0  # for the group to report the outcome of one order
 ORDER_POLL_INTERVAL_S = 0.02
+MAX_UNKNOWN_LOOKUPS = (
+    20  # in a row; in an upgrade two processes answer at one address, and one of them took the order
+)
 REQUEST_TIMEOUT_S = 3.0
 NODE_NOT_NAMED = "which node: --operator FILE with [admin], or --admin and --token-file"
 
@@ -68,18 +73,49 @@
         Raises:
             OptionError: the address or token file is not given, or the operator file can't be read.
             NodeRequestError: the node could not be reached, or rejected the order.
+            OrderUnknownError: the order may have had an effect, and its outcome is not known.
             OrderTimeoutError: the group did not report an outcome in time.
         """
-        number = str(self.post(f"/v1/fleet/{path}", body)["asked"])
+        try:
+            accepted = self.post(f"/v1/fleet/{path}", body)
+        except NodeRequestError as error:
+            if error.may_have_been_received:
+                raise OrderUnknownError(str(error)) from error
+            raise
         deadline = time.monotonic() + ORDER_TIMEOUT_S
+        unknown_lookups = 0
         while time.monotonic() < deadline:
-            outcomes = self.get("/v1/fleet/asked")
-            if number in outcomes:
-                outcome: JsonObject = outcomes[number]
+            lookup = self._look_up(accepted)
+            if lookup["state"] == OrderState.DONE.value:
+                outcome: JsonObject = lookup["result"]
                 return outcome
+            unknown_lookups = unknown_lookups + 1 if lookup["state"] == OrderState.UNKNOWN.value else 0
+            if unknown_lookups > MAX_UNKNOWN_LOOKUPS:
+                raise OrderUnknownError(lookup["why"])
             time.sleep(ORDER_POLL_INTERVAL_S)
         raise OrderTimeoutError(ORDER_TIMEOUT_S)
 
+    def _look_up(self, accepted: JsonObject) -> JsonObject:
+        """Return what the process that answers now knows of an accepted order: a `state`, and a `result` or `why`."""
+        number = accepted["asked"]
+        try:
+            if "process" in accepted:
+                return self.get(f"/v1/fleet/asked/{accepted['process']}/{number}")
+            # A process of an older version took the order. It numbers orders from 1, and only it returns such numbers.
+            results = self.get("/v1/fleet/asked")
+        except MissingEndpointError:
+            return {
+                "state": OrderState.UNKNOWN.value,
+                "why": UNKNOWN_REASON,
+            }  # from a process of an older version
+        except NodeRequestError as error:
+            if error.status is not None:
+                raise
+            return {"state": OrderState.UNKNOWN.value, "why": str(error)}
+        if str(number) in results:
+            return {"state": OrderState.DONE.value, "result": results[str(number)]}
+        return {"state": OrderState.PENDING.value}
+
     def _request(self, method: str, path: str, body: str | None) -> JsonObject:
         address, token_file = self._endpoint()
         host, _, port = address.rpartition(":")
@@ -90,12 +126,14 @@
             response = connection.getresponse()
             payload = response.read()
         except (OSError, ValueError, http.client.HTTPException) as error:
-            raise NodeRequestError(address, error) from error
+            is_lost_response = isinstance(error, (ConnectionError, TimeoutError, http.client.HTTPException))
+            may_have_been_received = is_lost_response and not isinstance(error, ConnectionRefusedError)
+            raise NodeRequestError(address, error, may_have_been_received=may_have_been_received) from error
         if response.status == HTTPStatus.NOT_FOUND:
             raise MissingEndpointError(address, path)
         if response.status not in (HTTPStatus.OK, HTTPStatus.ACCEPTED):
             reason = payload.decode("utf-8", "replace").strip()
-            raise NodeRequestError(address, f"{response.status} {reason}")
+            raise NodeRequestError(address, f"{response.status} {reason}", status=response.status)
         page: JsonObject = json.loads(payload)
         return page
 
--- a/marlstep/cli/errors.py
+++ b/marlstep/cli/errors.py
@@ -1,11 +1,14 @@
-"""Errors that end a command with exit code 2. Click prints the message, for an `OptionError` after the usage."""
+"""Errors that end a command. Click prints the message, for an `OptionError` after the usage."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
+from http import HTTPStatus
 
 import click
 
+from marlstep.cli import exit_codes
+
 
 class OptionError(click.UsageError):
     """Options conflict, a required one is missing, or the value of one is unusable."""
@@ -24,23 +27,37 @@
 class CommandError(click.ClickException):
     """The command line was valid, but the command failed."""
 
+    exit_code = exit_codes.UNUSABLE
+
 
 class NodeRequestError(CommandError):
     """A node could not be reached, or answered a request with an error.
 
     Attributes:
         address: the node's administration listener.
+        status: HTTP status of the answer; None if there was no answer.
+        may_have_been_received: whether the connection was lost after the request may have been received.
     """
 
-    def __init__(self, address: str, problem: object) -> None:
+    def __init__(
+        self,
+        address: str,
+        problem: object,
+        *,
+        status: int | None = None,
+        may_have_been_received: bool = False,
+    ) -> None:
         """Initialize the error.
 
         Args:
             address: the node's administration listener.
             problem: what went wrong; its text follows the address in the message.
+            status: HTTP status of the answer; None if there was no answer.
+            may_have_been_received: whether the connection was lost after the request may have been received.
         """
         super().__init__(f"{address}: {problem}")
-        self.address = address
+        self.address, self.status = address, status
+        self.may_have_been_received = may_have_been_received
 
 
 class MissingEndpointError(NodeRequestError):
@@ -57,10 +74,21 @@
             address: the node's administration listener.
             path: the path that the node does not serve.
         """
-        super().__init__(address, f"no {path}: the operator's file of that node does not turn it on")
+        problem = f"no {path}: the operator's file of that node does not turn it on"
+        super().__init__(address, problem, status=HTTPStatus.NOT_FOUND)
         self.path = path
 
 
+class OrderUnknownError(CommandError):
+    """An order was sent, and whether it had an effect is not known."""
+
+    exit_code = exit_codes.OUTCOME_UNKNOWN
+
+    def __init__(self, reason: str) -> None:
+        """Initialize the error; `reason` says why the outcome is not known."""
+        super().__init__(f"the outcome is unknown: {reason}")
+
+
 class OrderTimeoutError(CommandError):
     """The group did not report the outcome of an order before the timeout; the order may still take effect.
 
@@ -68,6 +96,8 @@
         timeout_s: how long the command waited, in seconds.
     """
 
+    exit_code = exit_codes.OUTCOME_UNKNOWN
+
     def __init__(self, timeout_s: float) -> None:
         """Initialize the error.
 
--- a/marlstep/cli/main.py
+++ b/marlstep/cli/main.py
@@ -8,6 +8,7 @@
 import click
 
 from marlstep.cli import exit_codes
+from marlstep.cli.errors import CommandError
 from marlstep.cli.logs import configure_logging
 from marlstep.cli.output import unwrapped_help
 
@@ -17,6 +18,7 @@
   1  the node could not serve
   2  wrong call, wrong configuration, or nothing usable in what was read
   3  --strict, and something was wrong with the input
+  4  an order was sent, and whether it had an effect is not known
 """
 COMMAND_LOCATIONS = {  # command name: module and attribute
     "rules": ("marlstep.cli.rules.group", "group"),
@@ -88,7 +90,7 @@
         return exit_request.exit_code
     except click.ClickException as error:
         error.show()
-        return exit_codes.UNUSABLE
+        return error.exit_code if isinstance(error, CommandError) else exit_codes.UNUSABLE
     except click.Abort:
         click.echo("marlstep: ended by hand", err=True)
         return exit_codes.INTERRUPTED
--- a/marlstep/cli/rules/orders.py
+++ b/marlstep/cli/rules/orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import getpass
+import json
 import secrets
 import time
 from collections.abc import Callable
@@ -12,8 +13,9 @@
 import click
 
 from marlstep.cli.admin_client import AdminClient, check_accepted
-from marlstep.cli.errors import ChangeBlockedError, ChangeTimeoutError, OrderRejectedError
+from marlstep.cli.errors import ChangeBlockedError, ChangeTimeoutError, OrderRejectedError, OrderUnknownError
 from marlstep.cli.output import JsonObject, print_json
+from marlstep.cli.rules.documents import fetch_document
 from marlstep.replicated_config.documents import canonical_json, content_digest
 
 MAX_PART_LENGTH = 1_200  # characters; the administration API accepts bodies of up to 4 KiB
@@ -83,9 +85,13 @@
 
     Raises:
         OrderRejectedError: the group rejected the version.
+        OrderUnknownError: whether the version was accepted is not known, and none has come into force since.
         ChangeTimeoutError: the version is neither in force nor rejected after `wait_s` seconds.
     """
-    outcome = _upload_and_put(client, name, content, body)
+    try:
+        outcome = _upload_and_put(client, name, content, body)
+    except OrderUnknownError as error:
+        outcome = _outcome_of_unknown_put(client, name, content, body["expect"], error)
     if "prepares" not in outcome or not wait_s:
         report_outcome(outcome, as_json)
         return
@@ -105,6 +111,29 @@
     return order(client, "put", {**put, **body})
 
 
+def _outcome_of_unknown_put(
+    client: AdminClient, name: str, content: object, expected_version: int, error: OrderUnknownError
+) -> JsonObject:
+    """Return the outcome of a put that got no result, from the versions that came into force after the expected one.
+
+    Raises:
+        OrderRejectedError: other versions came into force, so the put had no effect.
+        OrderUnknownError: no version has come into force since; the put may still have an effect.
+    """
+    newer = [row for row in fetch_document(client, name)["versions"] if row["version"] > expected_version]
+    own = [
+        row["version"]
+        for row in newer
+        if canonical_json(json.loads(row["content"])) == canonical_json(content)
+    ]
+    if own:
+        return {"in_force": own[0]}
+    if newer:
+        reason = f"not done: version {newer[-1]['version']} with another content is in force"
+        raise OrderRejectedError(reason)
+    raise error
+
+
 def _follow(client: AdminClient, name: str, version: int, wait_s: float, as_json: bool) -> None:
     deadline = time.monotonic() + wait_s
     while time.monotonic() < deadline:
--- a/marlstep/cluster/admin.py
+++ b/marlstep/cluster/admin.py
@@ -13,6 +13,7 @@
 from marlstep.cluster.membership import ClusterMembership
 from marlstep.cluster.order_tracker import OrderResults, OrderTracker
 from marlstep.cluster.status_report import StatusReporter
+from marlstep.leases.names import ProcessName
 from marlstep.membership.roster_commands import ConfirmFailures, ReadmitNode, RemoveNode, RosterCommand
 
 Reader = Callable[[], dict[str, Any]]
@@ -69,12 +70,18 @@
         match path.split("/"):
             case ["fleet", "rules", document] if self._config_status is not None:
                 return self._config_status.versions(document)
+            case ["fleet", "asked", node, process_id, number] if number.isdecimal():
+                return self._look_up_order(ProcessName(node, process_id), int(number))
         return None
 
     def order_results(self) -> dict[str, Any]:
-        """Return the results of the latest orders by command number."""
+        """Return the results of the latest orders that this process took, by order number."""
         self._orders.collect()
-        return {str(number): result for number, result in self._results.items()}
+        return self._results.to_json()
+
+    def _look_up_order(self, process: ProcessName, number: int) -> dict[str, Any]:
+        self._orders.collect()
+        return self._results.look_up(str(process), number)
 
     def execute_order(self, path: str, arguments: dict[str, Any]) -> dict[str, Any] | None:
         """Carry out an order and return its response, or None if the cluster has no order at this path.
--- a/marlstep/cluster/node.py
+++ b/marlstep/cluster/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Callable
 from datetime import datetime
 from typing import Any, ClassVar
@@ -85,7 +84,7 @@
             frontend = self._make_frontend(core, timeline, upstream, pool_of, class_variable)
         self.task_driver = TaskDriver(self.context, self.turns, frontend)
         self.health_checks = self._make_health_checks(upstream)
-        results: OrderResults = OrderedDict()
+        results = OrderResults(self.context.client.holder)
         self.config_driver = self._make_config_driver(documents, results)
         config_lease = None if self.config_driver is None else self.config_driver.lease
         self.leases = LeaseDriver(self.context, self.turns, self.router, self._work_leases, config_lease)
