--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv/bin
 
 .PHONY: build test lint format run sim bench-traces bench-replay bench-fleet drill-leases drill-virtual \
-	drill-breakages explore-leases bench-rules drill-rules drill-rules-virtual explore-rules mixed-versions
+	drill-breakages explore-leases bench-rules drill-rules drill-rules-virtual explore-rules mixed-versions drill-upgrade-load
 
 build: .venv/requirements-dev.txt
 
@@ -75,3 +75,10 @@
 
 mixed-versions: build
 	$(VENV)/python -m benchmarks.mixed_versions --old $(OLD) --rounds $(ROUNDS) all
+
+# One plan of upgrades and a drain, RUNS times beside LOAD busy processes, outside CI.
+RUNS ?= 60
+LOAD ?= 3
+
+drill-upgrade-load: build
+	$(VENV)/python -m benchmarks.upgrade_under_load --runs $(RUNS) --jobs $(JOBS) --load $(LOAD)
--- a/marlstep/fault_injection/document_drill.py
+++ b/marlstep/fault_injection/document_drill.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import enum
 import json
 import random
 import tempfile
@@ -133,6 +134,14 @@
             server.close()
 
 
+class ConnectionEnd(enum.Enum):
+    """How the connection of a request ended for its client."""
+
+    END_OF_STREAM = "end of stream"
+    RESET = "reset"
+    TIMED_OUT = "timed out"
+
+
 class Load:
     """Sends requests to every node at a constant rate and counts the responses.
 
@@ -140,7 +149,8 @@
         cluster: The cluster.
         every_s: The interval of requests to each node, in seconds.
         answers: The number of requests by status code or by the reason why there was no response.
-        lost: The requests without a response from a node that stayed up.
+        lost: The requests without a response from a node that stayed up, each with the way in which its connection
+            ended and the client's port.
         twice: The number of requests with more than one response.
         stop: Set to True to stop sending.
     """
@@ -180,11 +190,9 @@
         except OSError:
             self.answers["no connection"] += 1
             return
-        data = b""
-        with contextlib.suppress(OSError, TimeoutError):
-            writer.write(write_packet(variables))
-            data = await asyncio.wait_for(reader.read(-1), RESPONSE_TIMEOUT_S)
-        writer.close()
+        client_port = writer.get_extra_info("sockname")[1]
+        data, end = await self._exchange(reader, writer, write_packet(variables))
+        ended = clock_us()
         if not data:
             # The end of a process that killed itself at a step is noticed a little later.
             await asyncio.sleep(EXIT_DETECTION_S)
@@ -197,10 +205,37 @@
             and process.returncode is None
             and node.quiet_since < sent
         ):
-            self.lost.append({"node": node.name, "sent_us": sent, "got": data[:32].decode("latin-1")})
+            self.lost.append(
+                {
+                    "node": node.name,
+                    "sent_us": sent,
+                    "got": data[:32].decode("latin-1"),
+                    "end": end.value,
+                    "ended_after_us": ended - sent,
+                    "client_port": client_port,
+                }
+            )
         else:
             self.answers["its node died or was stopped"] += 1
 
+    async def _exchange(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, packet: bytes
+    ) -> tuple[bytes, ConnectionEnd]:
+        """Send a packet, and return what was received until the connection ended, and how it ended."""
+        received = bytearray()
+        end = ConnectionEnd.END_OF_STREAM
+        try:
+            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+                writer.write(packet)
+                while data := await reader.read(1 << 16):
+                    received += data
+        except TimeoutError:
+            end = ConnectionEnd.TIMED_OUT
+        except OSError:
+            end = ConnectionEnd.RESET
+        writer.close()
+        return bytes(received), end
+
 
 class Operators:
     """Clients that read and change the list through random nodes, each expecting the version that it read last.
