Fail keyed work whose claim no process can decide

What callers saw: after a crash in an upgrade, a repeat of keyed work that may have run was answered `later`. A rejection promises that nothing ran, so the caller may run the work on another node: its effect happens twice. Cause: `sibling_claims.decide_claim` rejected each claim that was not granted, undecided or known elsewhere. The same fault elsewhere: a claim without an answer by the deadline was rejected too (`ResponseDelivery.respond_without_outcome`). Change: the first fails, the second expires; both promise nothing. Work that never was claimed is rejected as before. The log field is keyed_requests_fail_s.

--- a/marlstep/core/response_rules.py
+++ b/marlstep/core/response_rules.py
@@ -1,8 +1,8 @@
 """Pure rules that map outcomes to the status of the final response. `responses` sends it.
 
 A client may send a rejected request to another node, but not a failed or expired one that has an effect: REJECTED
-promises that this attempt did not run. It promises nothing about earlier attempts of the same work; see the exception
-in `sibling_claims.decide_claim`.
+promises that the request did not run, and that no earlier attempt of the same work is known or suspected to have run on
+this node.
 """
 
 from __future__ import annotations
--- a/marlstep/core/responses.py
+++ b/marlstep/core/responses.py
@@ -68,10 +68,14 @@
         self.respond(request, Response(ResponseStatus.REJECTED, retry_after=self.retry_after()))
 
     def respond_without_outcome(self, request: Request) -> None:
-        """Respond before an outcome is known: expired if the request may have run, else rejected."""
+        """Respond before an outcome is known: expired if the work may have run, else rejected.
+
+        While the work is being claimed, an earlier attempt of it may have run in a sibling process.
+        """
         if request.is_settled:
             return
-        status = status_without_outcome(may_have_run=request.may_have_run)
+        may_have_run = request.may_have_run or request.stage is Stage.CLAIMING
+        status = status_without_outcome(may_have_run=may_have_run)
         if status is ResponseStatus.REJECTED:
             self.reject(request)
         else:
--- a/marlstep/core/sibling_claims.py
+++ b/marlstep/core/sibling_claims.py
@@ -25,20 +25,14 @@
 
     ENQUEUE = "enqueue"
     FAIL = "fail"
-    REJECT = "reject"
 
 
 def decide_claim(result: ClaimResult, prior: KeyRecord | None, effect: Effect, digest: str) -> ClaimDecision:
     """Decide what to do with a request, given the result of its claim.
 
-    If the work is known by now, the request is a repeat of it. A repeat of at-most-once work, or with another body,
-    fails, as the work may have run. Unknown work runs if the claim was granted. Otherwise an earlier attempt may have
-    run in a sibling process, and the request is rejected.
-
-    That rejection is an exception to the rule for REJECTED in `response_rules`: it promises only that this attempt did
-    not run. It keeps the work from running twice on this node, where the key can be claimed again once the sibling's
-    retry window has ended. A client that takes the rejection as permission to run the work on another node may run it
-    twice, as the earlier attempt may have run here.
+    Rule: work runs only if its claim was granted; otherwise an earlier attempt may have run in a sibling process, and
+    the request fails. It is not rejected, as a client may send rejected work to another node. Exception: work that is
+    known by now is not run again by a repeat but gives it its result, if the repeat is permitted and has the same body.
 
     Args:
         result: the reply of the sibling processes.
@@ -49,7 +43,7 @@
     if prior is not None:
         may_repeat = effect is not Effect.AT_MOST_ONCE and prior.matches_body(digest)
         return ClaimDecision.ENQUEUE if may_repeat else ClaimDecision.FAIL
-    return ClaimDecision.ENQUEUE if result is ClaimResult.GRANTED else ClaimDecision.REJECT
+    return ClaimDecision.ENQUEUE if result is ClaimResult.GRANTED else ClaimDecision.FAIL
 
 
 class SiblingClaims:
@@ -102,8 +96,6 @@
                 self._arrivals.enqueue(request, prior)
             case ClaimDecision.FAIL:
                 self._responses.respond(request, Response(ResponseStatus.FAILED))
-            case ClaimDecision.REJECT:
-                self._responses.reject(request)
 
     def _return_grant(self, request: Request, key: IdempotencyKey, arrived_at: datetime) -> None:
         """Notify the siblings that the granted work never ran, as its request has finished meanwhile.
--- a/marlstep/hot_restart/key_exchange.py
+++ b/marlstep/hot_restart/key_exchange.py
@@ -3,7 +3,7 @@
 Among overlapping processes of a node a request with a key runs at most once, because one process has authority over
 each key. While a predecessor is connected, its table is authoritative, and the successor claims a key from it before
 it enqueues a request. Each process sends every change of a key before the affected run begins. After a predecessor is
-lost, requests with keys that are unknown here are rejected for as long as clients may retry requests that it ran.
+lost, requests with keys that are unknown here fail for as long as clients may retry requests that it ran.
 Retries of known requests get the recorded result, or fail.
 
 Keys do not outlive the last process of a node, because they are not stored elsewhere. After a crash of the sole
@@ -31,7 +31,7 @@
 
     THIS_PROCESS = "this process"
     PREDECESSOR = "predecessor"
-    NOBODY = "nobody"  # a process that can't be asked may have run the request: reject it
+    NOBODY = "nobody"  # a process that can't be asked may have run the request: it fails
 
 
 class PredecessorEnd(enum.Enum):
--- a/marlstep/hot_restart/successor.py
+++ b/marlstep/hot_restart/successor.py
@@ -208,7 +208,7 @@
         if self._predecessor is None:
             return
         log.warning(
-            "predecessor exited: generation=%d reason=%s keyed_requests_rejected_s=%.1f",
+            "predecessor exited: generation=%d reason=%s keyed_requests_fail_s=%.1f",
             self._predecessor_generation,
             PredecessorEnd.CONNECTION_LOST.value,
             self.timeouts.retry_window.total_seconds(),
@@ -220,7 +220,7 @@
     def predecessor_unreachable(self, now: datetime) -> None:
         """Handle an older process that did not answer: it may be alive and run requests with keys."""
         log.warning(
-            "predecessor unreachable: keyed_requests_rejected_s=%.1f",
+            "predecessor unreachable: keyed_requests_fail_s=%.1f",
             self.timeouts.retry_window.total_seconds(),
         )
         self._outcomes_unknown_until = outcomes_unknown_until(
