End the attempts of an upstream before it closes

What callers saw: an idempotent request in flight at a uwsgi server when the node exits was sent to a second server, where it ran for nobody. Cause: `Upstream.close` released attempts without ending them; the loss of their connections counted as a failure, and the retry policy answered it with another attempt. Change: `Attempt.close` ends the attempt without a report. A request started after the close goes to no server.

--- a/marlstep/platform/database.py
+++ b/marlstep/platform/database.py
@@ -166,9 +166,13 @@
             self._forget_call(call)
 
     def close(self) -> None:
-        """Close all connections."""
+        """Abandon all calls without reporting an outcome, and close all connections; no call is made after this."""
+        self._address = None
+        for call in list(self._calls.values()):
+            self._forget_call(call)
         for cancel in self._dialing.values():
             cancel()
+        self._dialing.clear()
         for connection in list(self._connections):
             connection.abort()
 
--- a/marlstep/upstreams/attempt.py
+++ b/marlstep/upstreams/attempt.py
@@ -105,6 +105,11 @@
         """Cancel the attempt because no client waits for the response; has no effect once the attempt has ended."""
         self._end(AttemptOutcome.CANCELLED)
 
+    def close(self) -> None:
+        """End the attempt without notifying the owner, and close the connection: the process exits."""
+        self.state = AttemptState.ENDED
+        self.release()
+
     def release(self) -> None:
         """Cancel the connect timer and close the connection."""
         self._timeline.cancel(self._connect_timer)
--- a/marlstep/upstreams/upstream.py
+++ b/marlstep/upstreams/upstream.py
@@ -76,6 +76,7 @@
         self._random, self._settings = random.Random(seed), settings or PoolSettings()
         self._requests: dict[str, UpstreamRequest] = {}  # by id
         self._report_timer: Timer | None = None
+        self._is_closed = False
         self.reconfigure(pools)
 
     def reconfigure(self, pools: tuple[PoolConfig, ...]) -> None:
@@ -98,7 +99,9 @@
         """Forward a request to a server; the run ends as rejected if no server has capacity."""
         now = self._timeline.now()
         pool = self.pools.get(request.inbound.pool)
-        if pool is None:  # the pool was removed while the request was queued
+        if (
+            pool is None or self._is_closed
+        ):  # the pool was removed while the request was queued, or the process exits
             self._timeline.soon(lambda: self._sink().run_ended(request.id, Outcome.REJECTED, ZERO))
             return
         is_idempotent = request.class_settings.effect is Effect.IDEMPOTENT
@@ -215,8 +218,10 @@
             self._sink().pool_capacity(pool.config.name, capacity)
 
     def close(self) -> None:
-        """Stop the capacity reports, and close all connections to servers."""
+        """Stop the capacity reports, and end all attempts; no request is sent to a server after this."""
+        self._is_closed = True
         self._timeline.cancel(self._report_timer)
-        for forwarded in list(self._requests.values()):
+        for forwarded in self._requests.values():
             if forwarded.attempt is not None:
-                forwarded.attempt.release()
+                forwarded.attempt.close()
+        self._requests.clear()
--- a/tests/platform/test_database.py
+++ b/tests/platform/test_database.py
@@ -222,3 +222,15 @@
     harness.database.change_address(None)
     harness.call()
     assert harness.outcomes() == [Outcome.CONNECT_FAILED]
+
+
+def test_a_close_ends_all_calls_without_an_outcome_and_opens_no_connection() -> None:
+    # Guards against a close whose lost connections are reported to the core, which may make the call again.
+    harness = Harness()
+    connection = harness.open(1)
+    harness.call(2)
+    harness.database.close()
+    harness.clock.advance(5_000)
+    assert connection.closed and harness.outcomes() == []
+    harness.call(3)
+    assert harness.outcomes() == [Outcome.CONNECT_FAILED] and not harness.dial.waiting
--- a/tests/upstreams/test_upstream.py
+++ b/tests/upstreams/test_upstream.py
@@ -264,3 +264,24 @@
         table.attempt_failed(server.handle, site.driver.clock.now(), MILLISECOND)
     assert table.capacity(site.driver.clock.now()) == 4
     assert table.capacity(site.driver.clock.now() + 2 * SECOND) == 5  # the probe
+
+
+@pytest.mark.parametrize("is_connected", [False, True])
+def test_a_connection_that_ends_after_the_close_starts_no_retry(is_connected: bool) -> None:
+    # Guards against a close that releases attempts without ending them: their loss was retried at another server.
+    site = UpstreamSite()
+    site.send(1)
+    wire = site.dial.accept() if is_connected else None
+    site.upstream.close()
+    assert wire is None or wire.closed
+    site.driver.clock.advance(5_000)
+    assert not site.dial.waiting and site.upstream.pools["p"].statistics.attempts == 1
+
+
+def test_a_request_that_is_started_after_the_close_goes_to_no_server() -> None:
+    site = UpstreamSite()
+    site.upstream.close()
+    site.send(1)
+    site.driver.clock.advance(100)
+    assert site.upstream.pools["p"].statistics.attempts == 0
+    assert site.driver.statuses(1) == [ResponseStatus.REJECTED]
