Notice a predecessor that ends before this process listens

Cause: `RestartChannel.connection_lost` ignores a connection that is not yet the predecessor's, and `_begin_initial_sync` took a closed connection for a living predecessor. Test: forced by events in tests/hot_restart/test_channel.py; before, `has_predecessor` stays true.

--- a/marlstep/hot_restart/channel.py
+++ b/marlstep/hot_restart/channel.py
@@ -80,6 +80,8 @@
     def _begin_initial_sync(self, connection: PeerConnection) -> None:
         self._predecessor = connection
         self.hot_restart.predecessor_connected(connection, self._timeline.now())
+        if not connection.connected:  # it was lost before this process took it for its predecessor's
+            self.connection_lost(connection)
 
     def _redirect(self, generation: int) -> None:
         """Drop the connection to the predecessor and connect to the newer process that it named as its successor."""
--- a/tests/hot_restart/test_channel.py
+++ b/tests/hot_restart/test_channel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import socket
 from collections.abc import Iterator
@@ -13,6 +14,7 @@
 from marlstep.core.interfaces import ResponseStatus
 from marlstep.hot_restart import discovery
 from marlstep.hot_restart.channel import RestartChannel
+from marlstep.hot_restart.connection import PeerConnection, PeerRole
 from marlstep.units import MILLISECOND
 from tests.support.node import ManualClock
 from tests.support.restart_pair import RETRY_WINDOW, TERMINATION_TIMEOUT, SimulatedProcess
@@ -86,3 +88,44 @@
         channel.close()
 
     uvloop.run(run())
+
+
+def test_a_predecessor_that_ends_before_this_process_listens_is_noticed(tmp_path: Path) -> None:
+    # Guards against a process that waits for the keys and the share of a predecessor whose connection is closed.
+    async def run() -> None:
+        clock = ManualClock()
+        predecessor_process, process = SimulatedProcess(clock, 1), SimulatedProcess(clock, 2)
+        predecessor = RestartChannel(
+            tmp_path, "n1", clock.timeline, lambda _: predecessor_process.hot_restart
+        )
+        accepted: list[PeerConnection] = []
+
+        def accept_successor() -> PeerConnection:
+            accepted.append(PeerConnection(predecessor, PeerRole.SUCCESSOR))
+            return accepted[-1]
+
+        predecessor._accept_successor = accept_successor  # type: ignore[assignment]
+        await predecessor.open()
+        channel = RestartChannel(tmp_path, "n1", clock.timeline, lambda _: process.hot_restart)
+        listen = channel._listen
+
+        async def listen_after_the_end(generation: int) -> int:
+            while not accepted:
+                await asyncio.sleep(0)
+            predecessor.close()
+            accepted[0].close()
+            for _ in range(20):  # until the end of the connection has been read
+                await asyncio.sleep(0)
+            return await listen(generation)
+
+        channel._listen = listen_after_the_end  # type: ignore[assignment, method-assign]
+        await channel.open()
+        process.hot_restart.backend_ready(clock.now())
+        assert not process.hot_restart.has_predecessor and process.accepts_connections
+        assert process.hot_restart.sharing.limit == 0.5
+        clock.advance(TERMINATION_TIMEOUT / MILLISECOND)
+        process.hot_restart.tick(clock.now())
+        assert process.hot_restart.sharing.limit == 1.0
+        channel.close()
+
+    uvloop.run(run())
