Announce a serving process to the predecessor it is redirected to

What callers saw: a node drained at SIGTERM to its old process though a new one served. Cause: a process that accepted before its first predecessor answered sent `SuccessorReady` to that one only; the second, to which it was redirected, did not rely on it. Change: `Successor.predecessor_connected` sends it after the hello while accepting or serving. Test: in memory, a process that accepts connects to a second predecessor; before, that one had no serving successor.

--- a/marlstep/hot_restart/successor.py
+++ b/marlstep/hot_restart/successor.py
@@ -202,6 +202,8 @@
         peer.send_message(hello)
         self._apply_capacity_limit()
         self._apply(Event.PREDECESSOR_CONNECTED, now)
+        if self.state in (State.ACCEPTING, State.SERVING):  # it was redirected here after it began to accept
+            self._announce_ready(now)
 
     def predecessor_lost(self, now: datetime) -> None:
         """Handle a connection to the predecessor that was closed or carried corrupt data."""
--- a/tests/hot_restart/test_restart.py
+++ b/tests/hot_restart/test_restart.py
@@ -168,3 +168,14 @@
     for process, number in pair.accepted:
         if not process.is_killed:
             assert len(process.driver.statuses(number)) == 1, number
+
+
+def test_a_successor_that_serves_announces_itself_to_a_predecessor_that_it_is_redirected_to() -> None:
+    # Guards against a predecessor that drains the node at SIGTERM although its successor serves.
+    pair = ProcessPair()
+    pair.successor.hot_restart.backend_ready(pair.clock.now())
+    assert pair.successor.accepts_connections
+    pair.connect()
+    pair.run_for(100)
+    assert pair.predecessor.hot_restart.has_serving_successor
+    assert pair.predecessor.hot_restart.begin_shutdown(pair.clock.now())
