Give a process that replaces a lost one a share at once

What callers saw: after a successor was killed and replaced, half of the requests were answered later, closed or reset until the killed one must have ended (12 s). Cause: the share granted to the lost successor counted as granted to the new one, so the predecessor had nothing to grant; after 1 s the new process accepted with room for one request. Change: the shares of lost successors are kept apart, each with its own end. A replacement gets half of what its predecessor owns at the next tick where that is free, and half of the rest once it is reclaimed.

--- a/tests/hot_restart/test_resource_sharing.py
+++ b/tests/hot_restart/test_resource_sharing.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from marlstep.hot_restart.resource_sharing import FULL_SHARE, HALF_SHARE, MIN_DRAINING_SHARE, ResourceSharing
-from marlstep.units import MILLISECOND
+from marlstep.units import MILLISECOND, SECOND
 from tests.frontends.test_parsers import FIXED
 from tests.support.node import START
 from tests.support.restart_pair import TERMINATION_TIMEOUT, ProcessPair
@@ -78,3 +78,44 @@
     pair.exchange()
     assert pair.successor.hot_restart.sharing.limit == FULL_SHARE and pair.successor.hot_restart.is_idle
     assert pair.successor.driver.core._controller.state.portion == FULL_SHARE
+
+
+def test_a_successor_that_replaces_a_lost_one_gets_half_of_what_its_predecessor_owns_at_once() -> None:
+    # Guards against a replacement that gets no share until the lost process must have ended.
+    sharing = ResourceSharing()
+    sharing.successor_connected()
+    assert sharing.grant(0.0) == 0.5
+    sharing.successor_lost(START, 7 * SECOND)
+    assert sharing.limit == 0.5  # the lost process may still use the other half
+    sharing.successor_connected()
+    assert sharing.grant(0.0) == 0.25 and sharing.limit == 0.25
+    sharing.reclaim_lost_shares(START + 6.9 * SECOND)
+    assert sharing.grant(0.0) == 0.0
+    sharing.reclaim_lost_shares(START + 7 * SECOND)
+    assert sharing.grant(0.0) == 0.25 and sharing.limit == 0.5
+
+
+def test_each_lost_share_is_reclaimed_at_its_own_time() -> None:
+    sharing = ResourceSharing()
+    for lost_at in (0, 2):
+        sharing.successor_connected()
+        sharing.grant(0.0)
+        sharing.successor_lost(START + lost_at * SECOND, 7 * SECOND)
+    assert sharing.owned_share == 0.25
+    sharing.reclaim_lost_shares(START + 7 * SECOND)
+    assert sharing.owned_share == 0.75 and not sharing.is_sole_process
+    sharing.reclaim_lost_shares(START + 9 * SECOND)
+    assert sharing.owned_share == sharing.limit == 1.0 and sharing.is_sole_process
+
+
+def test_a_successor_of_a_successor_that_lost_one_leaves_the_lost_share_alone() -> None:
+    sharing = ResourceSharing()
+    sharing.predecessor_connected()
+    sharing.receive(0.5)
+    sharing.successor_connected()
+    assert sharing.grant(0.0) == 0.25
+    sharing.successor_lost(START, 7 * SECOND)
+    sharing.predecessor_done()
+    assert sharing.owned_share == 0.75
+    sharing.reclaim_lost_shares(START + 7 * SECOND)
+    assert sharing.owned_share == 1.0
--- a/tests/hot_restart/test_restart.py
+++ b/tests/hot_restart/test_restart.py
@@ -170,6 +170,19 @@
             assert len(process.driver.statuses(number)) == 1, number
 
 
+def test_a_successor_that_replaces_a_killed_one_gets_a_share_before_the_killed_one_must_have_ended() -> None:
+    # Guards against a replacement that accepts connections without capacity.
+    pair = serving_pair()
+    pair.kill(pair.successor)
+    pair.connect_replacement()
+    pair.run_for(100)
+    predecessor, replacement = pair.predecessor.hot_restart, pair.successor.hot_restart
+    assert replacement.sharing.limit == predecessor.sharing.limit == 0.25
+    assert pair.successor.accepts_connections and predecessor.has_serving_successor
+    pair.run_for(TERMINATION_TIMEOUT // MILLISECOND)
+    assert replacement.sharing.limit == predecessor.sharing.limit == 0.5
+
+
 def test_a_successor_that_serves_announces_itself_to_a_predecessor_that_it_is_redirected_to() -> None:
     # Guards against a predecessor that drains the node at SIGTERM although its successor serves.
     pair = ProcessPair()
--- a/tests/support/restart_pair.py
+++ b/tests/support/restart_pair.py
@@ -99,6 +99,13 @@
         if backend_ready:
             self.successor.hot_restart.backend_ready(self.clock.now())
 
+    def connect_replacement(self) -> None:
+        """Connect a new successor in place of one that was killed."""
+        self.successor = SimulatedProcess(self.clock, 3)
+        self.to_predecessor, self.to_successor = MessagePipe(), MessagePipe()
+        self.is_cut = False
+        self.connect()
+
     def deliver_to_predecessor(self, max_bytes: int = ALL_BYTES) -> None:
         """Deliver at most `max_bytes` sent by the successor; a killed predecessor handles no message."""
         now, receiver = self.clock.now(), self.predecessor.hot_restart
