Keep documents, roster and quota shares when a group is recovered

What operators saw: after `fleet recover` the nodes acted on the older documents of their own files, in silence, and removed nodes came back. Cause: `recovery._snapshot_of_whole_log` replayed the log into leases and task runs only. Change: it replays into all machines of a replica, from the function that a replica uses (moved to cluster/state_machines.py). Version numbers skip a thousand: a version that only lost voters had would else share its number with another content. A node whose group goes back to an older version, or loses a document, logs an error and records it; a withdrawn canary rollout is none.

--- a/marlstep/cluster/config_documents.py
+++ b/marlstep/cluster/config_documents.py
@@ -25,6 +25,7 @@
     CheckVersion,
     FollowerAction,
     ProposeFirstVersion,
+    ReportOlderVersion,
     SuspendDocument,
 )
 from marlstep.replicated_config.messages import DocumentChunk, FetchChunk
@@ -140,6 +141,8 @@
                 self._suspend(action)
             case ProposeFirstVersion():
                 self._propose_first_version(action)
+            case ReportOlderVersion():
+                self._report_older_version(action)
         return []
 
     def _check_version(self, action: CheckVersion, now: datetime) -> list[FollowerAction]:
@@ -185,6 +188,18 @@
         log.info("fleet: version activated document=%s version=%d", action.name, action.version)
         self._context.record_event(f"acts on version {action.version} of {action.name}", "it is in force")
 
+    def _report_older_version(self, action: ReportOlderVersion) -> None:
+        log.error(
+            "fleet: group went back to an older version document=%s version=%d newest_version=%d",
+            action.name,
+            action.version,
+            action.newest_version,
+        )
+        reason = (
+            f"version {action.version} is in force in the group, which had version {action.newest_version}"
+        )
+        self._context.record_event(f"the group went back to an older version of {action.name}", reason)
+
     def _suspend(self, action: SuspendDocument) -> None:
         effect = DISCONNECT_EFFECTS[action.policy]
         log.warning(
--- a/marlstep/cluster/recovery.py
+++ b/marlstep/cluster/recovery.py
@@ -5,15 +5,17 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from marlstep.cluster.state_machines import state_machines
 from marlstep.cluster.store import ReplicaStore
 from marlstep.cluster.store_errors import StoreRefusedError
 from marlstep.consensus.log import Configuration, EntryType, PersistentState, Snapshot
 from marlstep.consensus.raft import Ready
 from marlstep.consensus.state_machine import StateMachines
 from marlstep.leases.table import LeaseTable
-from marlstep.scheduled_tasks.run_log import RunLog
+from marlstep.replicated_config.store import ConfigStore
 
 TOKEN_GAP = 1_000_000  # skipped fencing tokens, because lost log entries may have issued them
+VERSION_GAP = 1_000  # skipped version numbers of each document, for the same reason
 
 
 @dataclass(slots=True, frozen=True)
@@ -24,6 +26,7 @@
     group: str  # the new name of the group
     last_index: int
     last_token: int  # the next lease gets a greater fencing token
+    documents: dict[str, int]  # active version of each replicated document; 0: none
 
     def to_json(self) -> dict[str, object]:
         """Return the output of the command as JSON."""
@@ -32,6 +35,7 @@
             "group": self.group,
             "entries": self.last_index,
             "token": self.last_token,
+            "documents": self.documents,
         }
 
 
@@ -57,11 +61,12 @@
 
 
 def recover_group(folder: Path, node: str, group: str) -> RecoveredGroup:
-    """Create the group `group` whose only member is this replica, from the leases and task runs in its store.
+    """Create the group `group` whose only member is this replica, from the state in its store.
 
-    All entries of the store's log count, committed or not. Replicated documents, the roster and quota shares are not
-    carried over. The stores of the other replicas still belong to the previous group. Fencing tokens continue far above
-    the known ones, because log entries that only the other replicas had may have issued some.
+    All entries of the store's log count, committed or not: leases, task runs, documents, the roster and quota shares.
+    The stores of the other replicas still belong to the previous group. Fencing tokens and the version numbers of
+    documents continue far above the known ones, because log entries that only the other replicas had may have issued
+    some. A node that acted on such a version reports that the group went back to an older one.
 
     Raises:
         StoreError: the store can't be read or written.
@@ -74,7 +79,8 @@
     try:
         if opened.fresh:
             raise StoreRefusedError(store.path, "contained no state of this replica")
-        snapshot, last_token = _snapshot_of_whole_log(opened.identity, opened.state)
+        leases, documents, machines = _replay_whole_log(opened.state)
+        snapshot = _recovered_snapshot(opened.identity, opened.state, machines)
         store.set_group(group)
         store.save(
             Ready(
@@ -86,24 +92,30 @@
                 keep_after_index=snapshot.index,
             )
         )
-        return RecoveredGroup(opened.identity, group, snapshot.index, last_token)
+        versions = {name: document.active_number for name, document in documents.documents.items()}
+        return RecoveredGroup(opened.identity, group, snapshot.index, leases.last_token, versions)
     finally:
         store.close()
 
 
-def _snapshot_of_whole_log(identity: str, state: PersistentState) -> tuple[Snapshot, int]:
-    """Return a snapshot of leases and task runs after the whole log, and the last fencing token in it.
-
-    Uncommitted entries are included.
-    """
+def _replay_whole_log(state: PersistentState) -> tuple[LeaseTable, ConfigStore, StateMachines]:
+    """Return the state after all entries of the log, uncommitted ones included, with the gaps in its numbers."""
     leases = LeaseTable()
-    machines = StateMachines({"leases": leases, "tasks": RunLog(leases)})
+    others = state_machines(leases)
+    documents = others["rules"]
+    assert isinstance(documents, ConfigStore)
+    machines = StateMachines({"leases": leases, **others})
     if state.snapshot.data:
         machines.restore(state.snapshot.data)
     for entry in state.entries:
         if entry.entry_type is EntryType.COMMAND:
             machines.apply(entry.body)
     leases.last_token += TOKEN_GAP
+    documents.skip_version_numbers(VERSION_GAP)
+    return leases, documents, machines
+
+
+def _recovered_snapshot(identity: str, state: PersistentState, machines: StateMachines) -> Snapshot:
+    """Return a snapshot of the state machines at the end of the log, with this replica as the only voter."""
     last_index = state.entries[-1].index if state.entries else state.snapshot.index
-    snapshot = Snapshot(last_index, state.term + 1, Configuration((identity,)), machines.snapshot())
-    return snapshot, leases.last_token
+    return Snapshot(last_index, state.term + 1, Configuration((identity,)), machines.snapshot())
--- a/marlstep/cluster/replica_driver.py
+++ b/marlstep/cluster/replica_driver.py
@@ -14,18 +14,13 @@
 from marlstep.cluster.context import NodeContext
 from marlstep.cluster.group_identity import GroupChange, GroupIdentity
 from marlstep.cluster.interfaces import MessageSender, Step, TurnRequester
+from marlstep.cluster.state_machines import state_machines
 from marlstep.cluster.store import OpenedStore, ReplicaStore, StoreError, StoreRefusedError
 from marlstep.consensus.raft import RaftTiming, Ready
 from marlstep.consensus.replica import Replica, ReplicaSettings
 from marlstep.consensus.replica_messages import CommandRequest, CommandResponse, JoinRequest, Message
-from marlstep.consensus.state_machine import StateMachine
 from marlstep.leases.messages import Heartbeat, HeartbeatResponse
-from marlstep.leases.table import LeaseTable
-from marlstep.membership.quota_table import QuotaTable
-from marlstep.membership.roster import Roster
 from marlstep.replicated_config.messages import FetchChunk
-from marlstep.replicated_config.store import ConfigStore
-from marlstep.scheduled_tasks.run_log import RunLog
 from marlstep.units import MILLISECOND, SECOND
 
 log = logging.getLogger(__name__)
@@ -310,13 +305,3 @@
     store.close()
     if set_aside:
         store.set_aside()
-
-
-def state_machines(table: LeaseTable) -> dict[str, StateMachine]:
-    """Return the replicated state machines other than the lease table, by name."""
-    return {
-        "tasks": RunLog(table),
-        "rules": ConfigStore(table),
-        "members": Roster(),
-        "shares": QuotaTable(table),
-    }
--- a/marlstep/replicated_config/followed_document.py
+++ b/marlstep/replicated_config/followed_document.py
@@ -54,8 +54,17 @@
     fetched_contents: dict[int, str] = field(default_factory=dict)  # complete, by version
     check_results: dict[int, str] = field(default_factory=dict)  # reason to reject, by version; empty: valid
     acknowledged_version: int = 0  # the last one that was acknowledged or rejected; 0: none
+    newest_group_version: int = 0  # that was active in the group, as far as this process has heard
     proposed_at: datetime | None = None  # when this node last proposed a first version, as the group had none
 
+    def goes_back(self, target: DocumentStatus | None) -> bool:
+        """Record the group's status; return whether the group has an older active version than it had before."""
+        self.target = target
+        version = 0 if target is None else target.version
+        goes_back = version < self.newest_group_version
+        self.newest_group_version = version
+        return goes_back
+
     def is_active_on(self, version: int) -> bool:
         """Return whether `version` is active on this node."""
         return self.state is FollowerState.ACTIVE and self.version == version
--- a/marlstep/replicated_config/follower.py
+++ b/marlstep/replicated_config/follower.py
@@ -19,6 +19,7 @@
     CheckVersion,
     FollowerAction,
     ProposeFirstVersion,
+    ReportOlderVersion,
     SuspendDocument,
 )
 from marlstep.replicated_config.messages import DocumentChunk, FetchChunk
@@ -62,7 +63,9 @@
         status_by_name = {status.name: status for status in statuses}
         actions: list[FollowerAction] = []
         for name, document in self.documents.items():
-            document.target = status_by_name.get(name)
+            newest_version = document.newest_group_version
+            if document.goes_back(status_by_name.get(name)):
+                actions.append(ReportOlderVersion(name, document.newest_group_version, newest_version))
             if lease_left <= ZERO:
                 continue
             if document.target is None:
--- a/marlstep/replicated_config/follower_actions.py
+++ b/marlstep/replicated_config/follower_actions.py
@@ -52,6 +52,21 @@
     name: str
 
 
+@dataclass(slots=True, frozen=True)
+class ReportOlderVersion:
+    """Report to operators that the group has gone back to an older version, as a recovered group may."""
+
+    name: str
+    version: int  # active in the group now; 0: the group does not have the document any more
+    newest_version: int  # that was active in the group before
+
+
 FollowerAction = (
-    CheckVersion | AcknowledgeVersion | ActivateVersion | SuspendDocument | ProposeFirstVersion | FetchChunk
+    CheckVersion
+    | AcknowledgeVersion
+    | ActivateVersion
+    | SuspendDocument
+    | ProposeFirstVersion
+    | ReportOlderVersion
+    | FetchChunk
 )
--- a/marlstep/replicated_config/store.py
+++ b/marlstep/replicated_config/store.py
@@ -314,6 +314,12 @@
 
     # Snapshots of the state.
 
+    def skip_version_numbers(self, count: int) -> None:
+        """Leave out the next `count` version numbers of each document, when a group is recovered."""
+        self._statuses = None
+        for document in self.documents.values():
+            document.version_count += count
+
     def snapshot(self) -> object:
         """Return the whole state in a form that can be written as JSON."""
         return {
--- a/tests/cluster/test_recovery.py
+++ b/tests/cluster/test_recovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from pathlib import Path
 
 import pytest
@@ -11,6 +12,13 @@
 from marlstep.cluster.store_errors import StoreRefusedError
 from marlstep.consensus.log import Configuration, EntryType, LogEntry
 from marlstep.consensus.raft import Ready
+from marlstep.consensus.state_machine import StateMachines
+from marlstep.leases.table import LeaseTable
+from marlstep.membership.roster import Roster
+from marlstep.membership.roster_commands import ConfirmFailures
+from marlstep.replicated_config.commands import PrepareVersion, UploadChunk
+from marlstep.replicated_config.documents import Kind, content_digest
+from marlstep.replicated_config.store import ConfigStore
 from tests.cluster.stores import reopen
 
 
@@ -30,7 +38,13 @@
     store.save(Ready(1, 1, "n1#a", entries=entries))
     store.close()
     recovered = recover_group(tmp_path, "n1", "2.h")
-    assert recovered.to_json() == {"identity": "n1#a", "group": "2.h", "entries": 2, "token": 1_000_001}
+    assert recovered.to_json() == {
+        "identity": "n1#a",
+        "group": "2.h",
+        "entries": 2,
+        "token": 1_000_001,
+        "documents": {},
+    }
     opened = reopen(tmp_path)
     assert (
         opened.group == "2.h"
@@ -40,3 +54,35 @@
     assert '"task/t","n2/b",1' in opened.state.snapshot.data and not opened.state.entries
     with pytest.raises(StoreRefusedError, match="does not exist"):
         recover_group(tmp_path / "other", "n1", "2.h")
+
+
+def test_a_recovered_group_keeps_documents_and_roster_and_reuses_no_version_number(tmp_path: Path) -> None:
+    # Guards against a recovery that drops documents: nodes then proposed the older ones of their own files.
+    content = '{"main":["127.0.0.1:1"]}'
+    prepare = PrepareVersion(
+        "servers", Kind.SERVERS, False, "u1", content_digest(content), 0, "ann", "", "2026-12-03T00:00:00"
+    )
+    commands = [
+        UploadChunk("u1", 0, content).to_json(),
+        prepare.to_json(),
+        {"m": "rules", "do": "commit", "doc": "servers", "version": 1},
+        ConfirmFailures(("n3",)).to_json(),
+    ]
+    create_group(tmp_path, "n1", "n1#a", "1.g")
+    store = ReplicaStore(tmp_path)
+    store.open("n1", "x")
+    entries = [
+        LogEntry(number, 1, EntryType.COMMAND, json.dumps(command))
+        for number, command in enumerate(commands, 1)
+    ]
+    store.save(Ready(1, 1, "n1#a", entries=entries))
+    store.close()
+    assert recover_group(tmp_path, "n1", "2.h").documents == {"servers": 1}
+    leases = LeaseTable()
+    documents, roster = ConfigStore(leases), Roster()
+    restored = StateMachines({"leases": leases, "rules": documents, "members": roster})
+    restored.restore(reopen(tmp_path).state.snapshot.data)
+    servers = documents.documents["servers"]
+    assert servers.active is not None and servers.active.content == content
+    assert servers.version_count == 1_001
+    assert "n3" in json.dumps(roster.snapshot())
--- a/tests/golden/machines.py
+++ b/tests/golden/machines.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from marlstep.cluster.replica_driver import state_machines
+from marlstep.cluster.state_machines import state_machines
 from marlstep.consensus.state_machine import StateMachines
 from marlstep.leases.table import LeaseTable
 
--- a/tests/golden/snapshots.py
+++ b/tests/golden/snapshots.py
@@ -5,7 +5,7 @@
 import json
 from collections.abc import Mapping
 
-from marlstep.cluster.replica_driver import state_machines
+from marlstep.cluster.state_machines import state_machines
 from marlstep.consensus.log import Configuration
 from marlstep.consensus.state_machine import StateMachine, StateMachines
 from marlstep.leases.table import Lease, LeaseTable
--- a/tests/golden/world.py
+++ b/tests/golden/world.py
@@ -13,7 +13,7 @@
 
 from marlstep.cluster import wire
 from marlstep.cluster.node import ClusterNode
-from marlstep.cluster.replica_driver import state_machines
+from marlstep.cluster.state_machines import state_machines
 from marlstep.cluster.transport import ClusterTransport
 from marlstep.config import check
 from marlstep.config.cluster import ClusterConfig
--- a/tests/replicated_config/test_follower.py
+++ b/tests/replicated_config/test_follower.py
@@ -152,3 +152,20 @@
         FollowerState.EXCLUDED: "held_out",
         FollowerState.PINNED: "fixed",
     }
+
+
+def test_a_node_reports_a_group_that_went_back_to_an_older_version_or_lost_the_document() -> None:
+    # Guards against a recovered group whose nodes act on an older version and say nothing.
+    node = FollowerHarness(PLAIN)
+    node.receive(2)
+    assert node.receive(1)[:1] == ["ReportOlderVersion"]
+    assert "ReportOlderVersion" not in node.receive(1)
+    status = node.follower.handle_statuses(NOW, (), SECOND)
+    assert [type(action).__name__ for action in status] == ["ReportOlderVersion", "ProposeFirstVersion"]
+
+
+def test_a_withdrawn_canary_rollout_is_no_older_version() -> None:
+    node = FollowerHarness(PLAIN)
+    node.receive(1)
+    node.receive(1, 2, rollout_nodes=(node.follower.node,))
+    assert "ReportOlderVersion" not in node.receive(1)
