--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv/bin
 
 .PHONY: build test lint format run sim bench-traces bench-replay bench-fleet drill-leases drill-virtual \
-	drill-breakages explore-leases bench-rules drill-rules drill-rules-virtual explore-rules mixed-versions drill-upgrade-load
+	drill-breakages explore-leases bench-rules drill-rules drill-rules-virtual explore-rules mixed-versions drill-upgrade-load soak
 
 build: .venv/requirements-dev.txt
 
@@ -82,3 +82,9 @@
 
 drill-upgrade-load: build
 	$(VENV)/python -m benchmarks.upgrade_under_load --runs $(RUNS) --jobs $(JOBS) --load $(LOAD)
+
+# RUNS soaks from SEED on, outside CI: upgrades, drains, kills and signals, JOBS at once beside LOAD busy processes.
+SEED ?= 1
+
+soak: build
+	$(VENV)/python -m benchmarks.soak --seed $(SEED) --runs $(RUNS) --jobs $(JOBS) --load $(LOAD)
