Keep a drain of one process from quiescing the one that replaces it

What callers saw: after a successor was killed in the handover and replaced, the new process failed health checks and reported `no` to the name service until an operator resumed it. Cause: `HostAdapter.wants_traffic` passed on `ServingState.wants_traffic`, which a drain makes false too; the new process took it for an operator's quiesce. Ruled out: the draining process, which sends one last report. Change: whether the node is quiesced is passed on; a drain is the process's own. Test: a process that connects to a draining predecessor (failed before), and to a quiesced one (held).

--- a/marlstep/core/serving_state.py
+++ b/marlstep/core/serving_state.py
@@ -53,6 +53,11 @@
         """
         return not (self._is_draining or self._quiesced)
 
+    @property
+    def is_quiesced(self) -> bool:
+        """Whether an operator has quiesced the node. A drain of this process leaves it as it is."""
+        return self._quiesced
+
     def mark_ready(self) -> None:
         """Record that the backend is up and connections are accepted."""
         self._ready = True
--- a/marlstep/hot_restart/host_adapter.py
+++ b/marlstep/hot_restart/host_adapter.py
@@ -53,13 +53,16 @@
         self._core.idempotency_keys.on_changed = key_changed
 
     def wants_traffic(self) -> bool:
-        """Return whether the node wants traffic: False while an operator has quiesced it."""
-        return self._core.serving_state.wants_traffic
+        """Return whether the node wants traffic: False while an operator has quiesced it.
+
+        A drain does not count: it is this process's own, and a process that replaces it serves.
+        """
+        return not self._core.serving_state.is_quiesced
 
     def set_wants_traffic(self, wanted: bool, /) -> None:
         """Apply a quiesce or resume from another process of the node."""
         serving_state = self._core.serving_state
-        if wanted is serving_state.wants_traffic:
+        if wanted is self.wants_traffic():
             return
         if wanted:
             serving_state.resume()
--- a/marlstep/node.py
+++ b/marlstep/node.py
@@ -185,7 +185,7 @@
         self.report_serving_state()
         restart_state = self.drain_controller.restart_state
         if restart_state is not None:
-            restart_state.serving_state_changed(self.core.serving_state.wants_traffic)
+            restart_state.serving_state_changed(not self.core.serving_state.is_quiesced)
 
     def report_serving_state(self) -> None:
         """Report to the name service whether this node wants requests."""
--- a/tests/hot_restart/test_restart.py
+++ b/tests/hot_restart/test_restart.py
@@ -192,3 +192,22 @@
     pair.run_for(100)
     assert pair.predecessor.hot_restart.has_serving_successor
     assert pair.predecessor.hot_restart.begin_shutdown(pair.clock.now())
+
+
+def test_a_process_that_connects_to_a_draining_predecessor_wants_traffic() -> None:
+    # Guards against a process that takes the drain of its predecessor for an operator's quiesce, and stays quiesced.
+    pair = serving_pair()
+    pair.kill(pair.successor)
+    pair.predecessor.driver.core.drain(pair.clock.now() + 3 * SECOND)
+    pair.connect_replacement()
+    pair.run_for(100)
+    assert pair.successor.driver.core.serving_state.wants_traffic
+    assert not pair.predecessor.driver.core.serving_state.wants_traffic
+
+
+def test_a_process_that_connects_to_a_quiesced_predecessor_is_quiesced() -> None:
+    pair = ProcessPair()
+    pair.predecessor.driver.core.serving_state.quiesce()
+    pair.connect()
+    pair.run_for(100)
+    assert not pair.successor.driver.core.serving_state.wants_traffic
