Ignore SIGHUP before the node is imported

What callers saw: an upgrade failed, as SIGHUP ended the process that started. Cause: the signal was ignored only once all modules of the node were imported. Change: `__main__` ignores it first. The soak's RELOAD_IN_START waits until the process has run its first statements (seen in /proc), as no program can handle a signal before; processes that it ends itself, after a soak that could not be played, are not judged by their exit code.

--- a/marlstep/__main__.py
+++ b/marlstep/__main__.py
@@ -7,6 +7,7 @@
 
 import logging
 import os
+import signal
 import sys
 
 LOG_FORMAT = "%(asctime)s %(levelname)s %(name)s: %(message)s"
@@ -33,6 +34,8 @@
 
 
 def _run_node(operator: str | None) -> int:
+    # Until the node can reload its configuration. Before the imports, which take most of the time until then.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from marlstep.node import run
 
     logging.basicConfig(level=logging.INFO, format=LOG_FORMAT)
--- a/marlstep/fault_injection/soak/platform.py
+++ b/marlstep/fault_injection/soak/platform.py
@@ -104,6 +104,13 @@
             with contextlib.suppress(ProcessLookupError):
                 self._subprocess.send_signal(number)
 
+    async def handles_reload(self) -> None:
+        """Wait until the process has run its first statements: before that, no program can handle a signal."""
+        for _ in range(int(MAX_START_S / READY_POLL_S)):
+            if not self.running or _has_disposition(self.record.pid, signal.SIGHUP):
+                return
+            await asyncio.sleep(READY_POLL_S)
+
     async def call(self, method: str, path: str) -> int:
         """Return the status of a call to the health endpoint; 0 if there is no answer."""
         with contextlib.suppress(OSError, TimeoutError, ValueError, IndexError):
@@ -158,6 +165,16 @@
         }
 
 
+def _has_disposition(pid: int, number: signal.Signals) -> bool:
+    """Return whether a process ignores or handles a signal."""
+    with contextlib.suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text("ascii").splitlines():
+            name, _, mask = line.partition(":")
+            if name in ("SigIgn", "SigCgt") and int(mask, 16) >> (number - 1) & 1:
+                return True
+    return False
+
+
 def _socket_inodes(pid: int) -> set[int]:
     inodes = set()
     with contextlib.suppress(OSError):
@@ -288,6 +305,7 @@
         """End all processes and emulators."""
         for process in self.processes:
             if process.running:
+                process.record.killed_early = True  # the soak could not be played to its end
                 await process.kill()
             process.site.close()
         if self._naming_transport is not None:
--- a/marlstep/fault_injection/soak/run.py
+++ b/marlstep/fault_injection/soak/run.py
@@ -257,6 +257,7 @@
 
     async def _reload_in_start(self, step: Step) -> None:
         old, new = await self._start_beside()
+        await new.handles_reload()
         await asyncio.sleep(step.delay_s)
         new.signal(signal.SIGHUP)
         await self._require_ready(new)
