Stop accepting in a drain once another process serves

Cause: the old process, whose successor was lost, accepts again and drains; nothing told it that the replacement serves. It took connections from the passed socket with a nearly full table. That it closed them is inferred from its share, not observed. Change: a successor's `SuccessorReady` makes a draining process stop accepting at once (`DrainController.successor_serves`).

--- a/marlstep/components/host.py
+++ b/marlstep/components/host.py
@@ -58,6 +58,9 @@
     def successor_lost(self) -> None:
         """Handle the loss of the successor: no other process replaces this one."""
 
+    def successor_serves(self) -> None:
+        """Handle a successor that accepts connections."""
+
     def successor_draining(self) -> None:
         """Handle the graceful shutdown of the successor."""
 
--- a/marlstep/components/hot_restart.py
+++ b/marlstep/components/hot_restart.py
@@ -28,6 +28,7 @@
         """Bind the callbacks to methods of the node `host`."""
         self.accept_connections = host.accept_connections
         self.successor_lost = host.drain_controller.successor_lost
+        self.successor_serves = host.drain_controller.successor_serves
         self.successor_draining = host.drain_controller.successor_draining
         self.limit_capacity = host.limit_capacity
         self.connection_share = host.connection_share
--- a/marlstep/core/drain.py
+++ b/marlstep/core/drain.py
@@ -102,7 +102,7 @@
         self._events.post(Drain(instant_us(stops_at), noticed_at=instant_us(noticed_at)))
         self._timeline.at(
             grace_end(self._run_until, stops_at),
-            lambda: self._timeline.after_reading(self._stop_accepting),
+            lambda: self._timeline.after_reading(self.stop_accepting),
         )
 
     def begin_hand_over(self, stops_at: datetime) -> None:
@@ -117,7 +117,7 @@
     def _stop_accepting_after_hand_over(self) -> None:
         # If the successor was lost meanwhile, the process drains and stops accepting after its grace period instead.
         if not self.is_draining:
-            self._stop_accepting()
+            self.stop_accepting()
 
     def _stop_at(self, stops_at: datetime) -> None:
         self.stops_at = min(stops_at, self.stops_at or stops_at)
@@ -126,7 +126,8 @@
         )
         self._timeline.at(self.stops_at - STOP_MARGIN, self.respond_to_all)
 
-    def _stop_accepting(self) -> None:
+    def stop_accepting(self) -> None:
+        """Make all frontends stop accepting; their open connections are drained. Has no effect when repeated."""
         for frontend in self._frontends:
             frontend.stop_accepting()
         self.on_accepting_stopped()
--- a/marlstep/core/engine.py
+++ b/marlstep/core/engine.py
@@ -358,6 +358,10 @@
     # Shutdown. A process *shuts down* from SIGTERM on. Without a successor it *drains*: after a grace period it
     # rejects arriving requests. With a successor it finishes its requests, and drains only if the successor is lost.
 
+    def stop_accepting(self) -> None:
+        """Stop accepting connections now, during a drain, because another process accepts them."""
+        self._shutdown.stop_accepting()
+
     def respond_to_all(self) -> None:
         """Respond to all open requests, because the process is about to exit."""
         self._shutdown.respond_to_all()
--- a/marlstep/drain.py
+++ b/marlstep/drain.py
@@ -116,6 +116,12 @@
             self._frontends.resume(self._config())
             self._core.drain(self._core.stops_at)
 
+    def successor_serves(self) -> None:
+        """Stop accepting if this process drains: the process that replaces it accepts connections."""
+        if self._core.is_draining:
+            log.info("successor serves during the drain: action=stop_accepting")
+            self._core.stop_accepting()
+
     def successor_draining(self) -> None:
         """Send the last report to the name service: the draining successor sends none while this process runs."""
         if self._core.stops_at is not None:
--- a/marlstep/hot_restart/host_adapter.py
+++ b/marlstep/hot_restart/host_adapter.py
@@ -33,6 +33,7 @@
         self.accept_connections = callbacks.accept_connections
         self.successor_lost = callbacks.successor_lost
         self.successor_draining = callbacks.successor_draining
+        self.successor_serves = callbacks.successor_serves
         self.limit_capacity = callbacks.limit_capacity
         self.adopt_measurements = core.adopt_measurements
         self.measurements = core.measurements
--- a/marlstep/hot_restart/interfaces.py
+++ b/marlstep/hot_restart/interfaces.py
@@ -52,6 +52,9 @@
     def successor_lost(self) -> None:
         """Handle the loss of a successor that had not announced that it drains."""
 
+    def successor_serves(self) -> None:
+        """Handle a successor that accepts connections."""
+
     def successor_draining(self) -> None:
         """Handle a successor that drains without a successor of its own."""
 
@@ -83,6 +86,9 @@
     def successor_lost(self) -> None:
         """Start the graceful shutdown if SIGTERM was received: without a successor it is no longer a hot restart."""
 
+    def successor_serves(self) -> None:
+        """Handle a successor that accepts connections."""
+
     def successor_draining(self) -> None:
         """Report to the name service that the node drains, if this process received SIGTERM too."""
 
--- a/marlstep/hot_restart/predecessor.py
+++ b/marlstep/hot_restart/predecessor.py
@@ -289,6 +289,7 @@
         if self._successor is not None:
             self._successor.require_prompt_reads()
             self._successor.send_message(SuccessorReady())
+            self._host.successor_serves()
 
     def _successor_ended(self, now: datetime, reason: str) -> None:
         log.warning("successor exited: generation=%d reason=%s", self._successor_generation, reason)
--- a/tests/hot_restart/test_restart.py
+++ b/tests/hot_restart/test_restart.py
@@ -211,3 +211,15 @@
     pair.connect()
     pair.run_for(100)
     assert not pair.successor.driver.core.serving_state.wants_traffic
+
+
+def test_a_draining_process_learns_that_the_one_that_replaces_its_lost_successor_serves() -> None:
+    # Guards against a draining process that goes on to accept connections, for which it has little capacity.
+    pair = serving_pair()
+    assert pair.predecessor.hot_restart.begin_shutdown(pair.clock.now())
+    pair.predecessor.saw_successor_serve = False
+    pair.kill(pair.successor)
+    assert pair.predecessor.saw_successor_lost
+    pair.connect_replacement()
+    pair.run_for(100)
+    assert pair.predecessor.saw_successor_serve
--- a/tests/support/restart_pair.py
+++ b/tests/support/restart_pair.py
@@ -53,7 +53,9 @@
 
     def __init__(self, clock: ManualClock, generation: int) -> None:
         self.driver = CoreDriver(cores=1, clock=clock, classes=CLASSES)
-        self.accepts_connections = self.saw_successor_lost = self.saw_successor_draining = False
+        self.accepts_connections = self.saw_successor_serve = self.saw_successor_lost = (
+            self.saw_successor_draining
+        ) = False
         self.connections_in_use = 0.0  # share of the node's connections
         self.applied_limits: list[float] = []
         adapter = HostAdapter(self.driver.core, clock.timeline, self)
@@ -68,6 +70,9 @@
     def successor_lost(self) -> None:
         self.saw_successor_lost = True
 
+    def successor_serves(self) -> None:
+        self.saw_successor_serve = True
+
     def successor_draining(self) -> None:
         self.saw_successor_draining = True
 
