--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -25,17 +25,22 @@
 MAX_SHOWN = 20  # violations of one seed
 
 
-def play(seed: int, mutation: str = "") -> dict[str, Any]:
-    """Play one seed, and return its report."""
+def play(seed: int, mutation: str = "", logs: str = "") -> dict[str, Any]:
+    """Play one seed, and return its report; the logs of its processes go to a folder of that name below `logs`."""
     config = json.loads(CONFIG.read_text("utf-8"))
-    return asyncio.run(run_soak(draw_script(seed), config, mutation))
+    folder = Path(logs) / f"seed-{seed}" if logs else None
+    if folder is not None:
+        folder.mkdir(parents=True, exist_ok=True)
+    return asyncio.run(run_soak(draw_script(seed), config, mutation, folder))
 
 
-def play_all(first_seed: int, runs: int, jobs: int, load: int, mutation: str = "") -> list[dict[str, Any]]:
+def play_all(
+    first_seed: int, runs: int, jobs: int, load: int, mutation: str = "", logs: str = ""
+) -> list[dict[str, Any]]:
     """Play seeds, `jobs` at a time beside `load` busy processes, and print those that broke a rule."""
     reports = []
     with BusyProcesses(load), ProcessPoolExecutor(jobs) as pool:
-        futures = [pool.submit(play, seed, mutation) for seed in range(first_seed, first_seed + runs)]
+        futures = [pool.submit(play, seed, mutation, logs) for seed in range(first_seed, first_seed + runs)]
         for future in as_completed(futures):
             report = future.result()
             reports.append(report)
@@ -74,8 +79,10 @@
     parser.add_argument("--jobs", type=int, default=2, help="seeds that are played at once")
     parser.add_argument("--load", type=int, default=0, help="busy processes beside them")
     parser.add_argument("--mutation", default="", help="a planted fault of mutated_node")
+    parser.add_argument("--logs", default="", help="a folder that keeps the logs of all processes")
     options = parser.parse_args()
-    totals = summarize(play_all(options.seed, options.runs, options.jobs, options.load, options.mutation))
+    reports = play_all(options.seed, options.runs, options.jobs, options.load, options.mutation, options.logs)
+    totals = summarize(reports)
     print(json.dumps(totals), flush=True)
     return 1 if totals["broken"] else 0
 
--- a/marlstep/fault_injection/soak/platform.py
+++ b/marlstep/fault_injection/soak/platform.py
@@ -146,11 +146,13 @@
         if self._subprocess is not None:
             await self._subprocess.wait()
 
-    def finish(self) -> None:
-        """Record the exit code and the errors in the log."""
+    def finish(self, logs: Path | None) -> None:
+        """Record the exit code and the errors in the log, and copy the log to a folder if one is given."""
         if self._subprocess is not None:
             self.record.exit_code = self._subprocess.returncode
         text = self.log_path.read_text("utf-8", "replace") if self.log_path.exists() else ""
+        if logs is not None:
+            (logs / self.log_path.name).write_text(text, "utf-8")
         self.record.log_faults = [
             line for line in text.splitlines() if any(fault in line for fault in LOG_FAULTS)
         ]
--- a/marlstep/fault_injection/soak/run.py
+++ b/marlstep/fault_injection/soak/run.py
@@ -330,13 +330,16 @@
         client.cancel()
 
 
-async def run_soak(script: Script, config: dict[str, Any], mutation: str = "") -> dict[str, Any]:
+async def run_soak(
+    script: Script, config: dict[str, Any], mutation: str = "", logs: Path | None = None
+) -> dict[str, Any]:
     """Play a script, and return its report; `broken` lists the rules that did not hold.
 
     Args:
         script: What happens.
         config: The node's configuration, as JSON.
         mutation: Name of a planted fault of `mutated_node`; empty for none.
+        logs: Folder to which the logs of the node's processes are copied; None to drop them.
 
     Raises:
         OSError: A port, a file or a process could not be opened.
@@ -382,7 +385,7 @@
                 watcher.cancel()
             await platform.close()
             for process in platform.processes:
-                process.finish()
+                process.finish(logs)
         return _report(script, platform, history, not_played, classes)
 
 
