Leave removed servers out of a pool without limits

What callers saw: requests went to a server that the operator had removed, as long as one attempt was in flight there. Cause: `ServerPool.choose` took the first server of the table, members or not, for pools without limits. Change: only members are chosen. Test: a removed server with an attempt in flight (chosen before).

--- a/marlstep/upstreams/server_pool.py
+++ b/marlstep/upstreams/server_pool.py
@@ -83,8 +83,7 @@
     def choose(self, now: datetime, attempted_servers: frozenset[int]) -> Server | None:
         """Return the server for an attempt, or None if no server has capacity.
 
-        A pool without limits uses the first server to which the request has not been sent. Neither health nor
-        membership is considered, so this may be a removed server that still has attempts in flight.
+        A pool without limits uses the first member to which the request has not been sent, whatever its health.
 
         Args:
             now: The current time.
@@ -92,7 +91,8 @@
         """
         if self.config.has_limits:
             return self.table.choose(now, attempted_servers)
-        return next((server for server in self.table if server.handle not in attempted_servers), None)
+        members = (server for server in self.table if not server.leaving)
+        return next((server for server in members if server.handle not in attempted_servers), None)
 
     def capacity(self, now: datetime, is_full: bool) -> int:
         """Return how many requests the pool can have in flight at once.
--- a/tests/upstreams/test_server_pool.py
+++ b/tests/upstreams/test_server_pool.py
@@ -92,3 +92,13 @@
     assert caplog.messages == [
         "server restarted, its statistics are discarded: pool=p server=127.0.0.1:1 boot_id=b"
     ]
+
+
+def test_a_removed_server_with_attempts_in_flight_is_not_chosen_by_a_pool_without_limits() -> None:
+    # Guards against requests to a server that the operator has removed.
+    pool = make_pool(has_limits=False)
+    removed, kept = pool.table
+    pool.table.attempt_started(removed.handle)
+    pool.reconfigure(PoolConfig("p", SERVERS[1:], has_limits=False), START)
+    assert pool.choose(START, frozenset()) is kept
+    assert pool.choose(START, frozenset({kept.handle})) is None
