Reject a reload whose servers don't fit before anything changes

What operators saw: a reload that swapped hundreds of busy servers raised TableFullError halfway, with the new configuration in force in some parts of the node. Cause: `set_members` did not count the servers that the call itself makes leave; the reloader had put the configuration in force before. Change: `check_members` counts them, `Upstream.check` asks all pools before one changes, and the reloader asks each component (`check_config`) before it changes anything; a ConfigError names the pool. Tests: a full table with one busy server replaced whole (raised halfway before), a second pool beside it.

--- a/marlstep/components/base.py
+++ b/marlstep/components/base.py
@@ -74,6 +74,13 @@
 
         """
 
+    def check_config(self, config: Config, /) -> None:
+        """Check that a changed configuration can be applied now, before any part of the node applies it.
+
+        Raises:
+            ConfigError: it can't be applied; the one in force stays.
+        """
+
     def reconfigure(self, config: Config, /) -> None:
         """Apply a changed configuration, which is already in force."""
 
--- a/marlstep/components/uwsgi.py
+++ b/marlstep/components/uwsgi.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING, Any, ClassVar
 
 from marlstep.components.base import Component, StartPhase
-from marlstep.config import Config, UwsgiConfig
+from marlstep.config import Config, ConfigError, UwsgiConfig
 from marlstep.frontends.uwsgi import UwsgiFrontend
 from marlstep.load_balancing.pool_config import pool_for
-from marlstep.upstreams.upstream import Upstream
+from marlstep.upstreams.upstream import PoolChangeError, Upstream
 
 if TYPE_CHECKING:
     from marlstep.components.host import NodeServices
@@ -70,6 +70,15 @@
         await self.frontend.listen(config.uwsgi.listen, shared=reuse_address)
         log.info("listening: component=uwsgi address=%s:%d", *config.uwsgi.listen)
 
+    def check_config(self, config: Config, /) -> None:
+        """Check that the pools' servers fit beside removed ones that still finish requests; ConfigError if not."""
+        if config.uwsgi is None:
+            return
+        try:
+            self.upstream.check(config.uwsgi.pools)
+        except PoolChangeError as error:
+            raise ConfigError.found("uwsgi", str(error)) from error
+
     def reconfigure(self, config: Config, /) -> None:
         """Apply changed pools and the changed mapping of requests to request classes."""
         if config.uwsgi is not None:
--- a/marlstep/load_balancing/server_table.py
+++ b/marlstep/load_balancing/server_table.py
@@ -100,22 +100,27 @@
             now: The current time; new servers begin slow start at it.
 
         Raises:
-            PoolFullError: The new members and the servers that were already leaving exceed `MAX_SERVERS`; nothing is
-                changed. Servers that this call would remove are not counted.
-            TableFullError: Servers that this call removed still have attempts in flight, and leave too few free slots
-                for the new ones. Some new servers may have been added to the table, but none of them is used, and the
-                removed servers get no more attempts.
+            PoolFullError: The members don't fit; see `check_members`. Nothing is changed.
 
         """
+        self.check_members(names)
         members = dict.fromkeys(names)
-        requested = len(members) + sum(server.leaving for server in self._servers)
-        if requested > MAX_SERVERS:
-            raise PoolFullError(MAX_SERVERS, requested)
         removed = self._remove_all_but(members)
         added = [name for name in members if self._add(name, now)]
         self._members = [server for server in self._servers if not server.leaving]
         return MembershipChange(tuple(added), tuple(removed))
 
+    def check_members(self, names: list[str]) -> None:
+        """Check that members fit into the table beside the removed servers that still have attempts in flight.
+
+        Raises:
+            PoolFullError: They don't fit. They may fit once attempts in flight have ended.
+        """
+        members = frozenset(names)
+        busy = sum(server.name not in members and server.in_flight > 0 for server in self._servers)
+        if len(members) + busy > MAX_SERVERS:
+            raise PoolFullError(MAX_SERVERS, len(members) + busy)
+
     def _remove_all_but(self, members: dict[str, None]) -> list[str]:
         removed = []
         for server in self._servers:
--- a/marlstep/node.py
+++ b/marlstep/node.py
@@ -52,7 +52,9 @@
             read_config: reads the configuration for a reload; a reload keeps the configuration if None.
         """
         self.timeline = timeline
-        self.config_reloader = ConfigReloader(config, read_config or (lambda: self.config), self._reconfigure)
+        self.config_reloader = ConfigReloader(
+            config, read_config or (lambda: self.config), self._check_config, self._reconfigure
+        )
         self.ended = asyncio.Event()
         self.kernel = KernelClient(config.kernel, config.gauge_names, timeline, lambda: self.core)
         self.database = DatabaseClient(config.database, timeline, lambda: self.core)
@@ -153,6 +155,11 @@
         for component in self.components.values():
             await component.close()
 
+    def _check_config(self, config: Config) -> None:
+        """Check that each component can apply a new configuration now. Raises ConfigError if one can't."""
+        for component in self.components.values():
+            component.check_config(config)
+
     def _reconfigure(self, replaced: Config) -> None:
         """Apply the new configuration to each part of the node.
 
--- a/marlstep/reload.py
+++ b/marlstep/reload.py
@@ -19,10 +19,8 @@
 class ConfigReloader:
     """Owner of the configuration in force.
 
-    A new configuration that can't be read, or that breaks a rule, is rejected before anything is changed. A valid one
-    comes into force, and `on_change` applies it to each part of the node. An error that `on_change` raises is not
-    handled: the parts before the failed one then have the new configuration and the others the old one, until the next
-    reload.
+    A new configuration that can't be read, breaks a rule, or can't be applied now, is rejected before anything is
+    changed. A valid one comes into force, and `on_change` applies it to each part of the node.
 
     Attributes:
         config: the configuration in force.
@@ -30,18 +28,23 @@
     """
 
     def __init__(
-        self, config: Config, read_config: Callable[[], Config], on_change: Callable[[Config], None]
+        self,
+        config: Config,
+        read_config: Callable[[], Config],
+        check_config: Callable[[Config], None],
+        on_change: Callable[[Config], None],
     ) -> None:
         """Initialize with the configuration to start with.
 
         Args:
             config: the configuration in force until the first reload.
             read_config: reads the configuration for a reload; raises ConfigError for an invalid one.
+            check_config: raises ConfigError if a valid configuration can't be applied now.
             on_change: called with the replaced configuration once the new one is in force.
         """
         self.config = config
         self.governed: DocumentOverrides | None = None
-        self._read_config = read_config
+        self._read_config, self._check_config = read_config, check_config
         self._on_change = on_change
 
     def handle_signal(self) -> None:
@@ -69,12 +72,12 @@
         """Put another configuration in force.
 
         Raises:
-            ConfigError: the configuration breaks a rule; the old one stays in force.
-            TableFullError: a pool got more servers than its table can hold besides the removed ones that still finish
-                requests. The new configuration is in force by then, but not in all parts of the node.
+            ConfigError: the configuration breaks a rule or can't be applied now; the old one stays in force.
         """
         replaced = self.config
-        self.config, restart_keys = merge_reloaded(replaced, config)
+        merged, restart_keys = merge_reloaded(replaced, config)
+        self._check_config(merged)
+        self.config = merged
         for key in restart_keys:
             log.warning("configuration key needs a restart: key=%s", key)
         self._on_change(replaced)
--- a/marlstep/upstreams/upstream.py
+++ b/marlstep/upstreams/upstream.py
@@ -16,6 +16,8 @@
 from marlstep.admission.events import Outcome
 from marlstep.admission.settings import Effect
 from marlstep.core.interfaces import EventSink, Request
+from marlstep.errors import MarlstepError
+from marlstep.load_balancing.errors import PoolFullError
 from marlstep.load_balancing.pool_config import PoolConfig
 from marlstep.load_balancing.retry_policy import AttemptOutcome, RetryPolicy
 from marlstep.load_balancing.server_table import PoolSettings
@@ -32,6 +34,19 @@
 CAPACITY_REPORT_INTERVAL = 50 * MILLISECOND  # also the delay from a change to its report
 
 
+class PoolChangeError(MarlstepError):
+    """A changed configuration of a pool can't be applied now; the one in force stays.
+
+    Attributes:
+        pool: name of the pool.
+    """
+
+    def __init__(self, pool: str, reason: object) -> None:
+        """Initialize the error; `reason` says what does not fit."""
+        super().__init__(f"pool {pool}: {reason}")
+        self.pool = pool
+
+
 @dataclass(slots=True)
 class UpstreamRequest:
     """The state of a request that is being forwarded."""
@@ -79,8 +94,26 @@
         self._is_closed = False
         self.reconfigure(pools)
 
+    def check(self, pools: tuple[PoolConfig, ...]) -> None:
+        """Check that a changed configuration can be applied now.
+
+        Raises:
+            PoolChangeError: A pool has more servers than its table holds beside those that still finish requests.
+        """
+        for config in pools:
+            if config.name in self.pools:
+                try:
+                    self.pools[config.name].table.check_members(config.server_names)
+                except PoolFullError as error:
+                    raise PoolChangeError(config.name, error) from error
+
     def reconfigure(self, pools: tuple[PoolConfig, ...]) -> None:
-        """Apply a changed configuration of pools and servers. A removed pool gets no new requests."""
+        """Apply a changed configuration of pools and servers. A removed pool gets no new requests.
+
+        Raises:
+            PoolChangeError: As for `check`; nothing is changed.
+        """
+        self.check(pools)
         now = self._timeline.now()
         for config in pools:
             if config.name in self.pools:
--- a/tests/load_balancing/test_server_table.py
+++ b/tests/load_balancing/test_server_table.py
@@ -50,6 +50,20 @@
     assert len(table) == 1 and table.find("s0") is not None
 
 
+def test_new_servers_that_do_not_fit_beside_busy_removed_ones_leave_the_pool_unchanged() -> None:
+    # Guards against a change that removes the old servers and then fails to add all of the new ones.
+    table = make_table(MAX_SERVERS)
+    busy = server_named(table, "s0")
+    table.attempt_started(busy.handle)
+    new_names = [f"x{index}" for index in range(MAX_SERVERS)]
+    with pytest.raises(PoolFullError):
+        table.set_members(new_names, START)
+    assert len(table) == MAX_SERVERS and not any(server.leaving for server in table)
+    table.attempt_succeeded(busy.handle, START, MILLISECOND)
+    table.set_members(new_names, START)
+    assert len(table) == MAX_SERVERS and table.find("s0") is None
+
+
 def test_setting_the_same_members_reports_no_change() -> None:
     table = make_table(2)
     assert not table.set_members(["s1", "s0"], START)
--- a/tests/upstreams/test_upstream.py
+++ b/tests/upstreams/test_upstream.py
@@ -17,10 +17,10 @@
 from marlstep.load_balancing.outlier_detection import OutlierDetectionSettings, ServerHealthState
 from marlstep.load_balancing.pool_config import PoolConfig
 from marlstep.load_balancing.server import Server
-from marlstep.load_balancing.server_table import PoolSettings
+from marlstep.load_balancing.server_table import MAX_SERVERS, PoolSettings
 from marlstep.net.eventloop import Address
 from marlstep.units import MILLISECOND, SECOND
-from marlstep.upstreams.upstream import Upstream
+from marlstep.upstreams.upstream import PoolChangeError, Upstream
 from tests.frontends.test_parsers import FIXED
 from tests.support.node import CoreDriver, FakeTransport, ManualDialer
 
@@ -285,3 +285,14 @@
     site.driver.clock.advance(100)
     assert site.upstream.pools["p"].statistics.attempts == 0
     assert site.driver.statuses(1) == [ResponseStatus.REJECTED]
+
+
+def test_a_change_that_does_not_fit_is_rejected_whole() -> None:
+    # Guards against a reload that changes some pools, and fails at another one.
+    site = UpstreamSite()
+    site.send(1)
+    changed = PoolConfig("p", tuple(("127.0.0.1", 1_000 + number) for number in range(MAX_SERVERS)))
+    other = PoolConfig("other", servers(9))
+    with pytest.raises(PoolChangeError, match="pool p: a pool holds at most"):
+        site.upstream.reconfigure((other, changed))
+    assert list(site.upstream.pools) == ["p"] and len(site.upstream.pools["p"].table) == 3
