Free a slot at once when an unproven connection is evicted

Cause: an evicted connection kept its slot until the loop had closed it, and each new connection evicted one; a table above its capacity went on rejecting. Evidence: "connections rejected: reason=table_full capacity=80" at the moments of the losses. Change: eviction frees the slot, and a table above its capacity evicts unproven connections, the oldest first, until one is free. Connections with requests stay. Tests: a shrunk table with a crowd (the new connection was closed before), and one without (still is).

--- a/marlstep/frontends/base.py
+++ b/marlstep/frontends/base.py
@@ -259,7 +259,25 @@
             self.timeline.now() - oldest.opened_at,
             connections.capacity,
         ):
-            oldest.abort()
+            self._evict(oldest)
+        self._make_room_in_shrunk_table()
+
+    def _make_room_in_shrunk_table(self) -> None:
+        """Evict unproven connections, the oldest first, until a slot is free.
+
+        The capacity may fall below the number of connections when another process of the node gets a share of it.
+        """
+        connections = self.connections
+        while not connection_policy.has_free_slot(len(connections), connections.capacity):
+            oldest = connections.oldest_unproven()
+            if oldest is None:
+                return
+            self._evict(oldest)
+
+    def _evict(self, connection: Connection) -> None:
+        """Abort an unproven connection. Its slot is free at once, and not only when the event loop has closed it."""
+        self.connections.remove(connection)
+        connection.abort()
 
     def mark_idle(self, connection: Connection) -> None:
         """Mark a connection as idle from now on, and schedule an idle sweep if none is due."""
--- a/tests/frontends/test_resp.py
+++ b/tests/frontends/test_resp.py
@@ -299,3 +299,26 @@
     harness.feed(connection, b"".join(exec_frame(tag, request_class=b"no-such") for tag in range(1, 100)))
     responses = connection.take()
     assert connection.closed and responses.count(b"error") == 8 and b"closing" in responses
+
+
+def test_a_new_connection_gets_a_slot_of_an_unproven_one_after_the_table_shrank() -> None:
+    # Guards against resets of new connections while a crowd fills a table whose capacity another process got.
+    harness = RespHarness(limit=8)
+    crowd = [harness.connect() for _ in range(6)]
+    proven = harness.connect()
+    harness.feed(proven, exec_frame(1))
+    harness.frontend.connections.capacity = 4
+    new = harness.connect()
+    harness.feed(new, exec_frame(2))
+    assert not new.closed and not proven.closed and harness.node.core.in_flight == 2
+    assert [connection.closed for connection in crowd] == [True] * 4 + [False] * 2
+    assert len(harness.frontend.connections) == 4
+
+
+def test_a_new_connection_is_closed_if_all_slots_of_a_shrunk_table_are_in_use() -> None:
+    harness = RespHarness(limit=8)
+    busy = [harness.connect() for _ in range(4)]
+    for number, connection in enumerate(busy, 1):
+        harness.feed(connection, exec_frame(number))
+    harness.frontend.connections.capacity = 2
+    assert harness.connect().closed and not any(connection.closed for connection in busy)
