End a node without the interpreter's finalization

What operators saw: beside load a process that used its time to the end was killed, exit code -9, though it had responded to all requests. Cause: the node closes 100 ms before its stop, and the interpreter's finalization took most of that. Change: `exit_at_once` flushes logs and output and calls os._exit, for the node alone; commands end as before. Tests: tests/test_main.py.

--- a/marlstep/__main__.py
+++ b/marlstep/__main__.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+from typing import NoReturn
 
 LOG_FORMAT = "%(asctime)s %(levelname)s %(name)s: %(message)s"
 COMPLETION_VARIABLE = "_MARLSTEP_COMPLETE"  # set by the shell for tab completion
@@ -22,15 +23,24 @@
         arguments: the command-line arguments; `sys.argv[1:]` if None.
     """
     command_line = sys.argv[1:] if arguments is None else arguments
+    if not runs_node(command_line):
+        return _run_command(command_line)
     match command_line:
-        case _ if COMPLETION_VARIABLE in os.environ:
-            return _run_command(command_line)
-        case [] | ["node"]:
-            return _run_node(None)
-        case ["--operator", operator] | ["node", "--operator", operator]:
+        case [*_, "--operator", operator]:
             return _run_node(operator)
         case _:
-            return _run_command(command_line)
+            return _run_node(None)
+
+
+def runs_node(command_line: list[str]) -> bool:
+    """Return whether a command line runs the node, and not another command."""
+    if COMPLETION_VARIABLE in os.environ:
+        return False
+    match command_line:
+        case [] | ["node"] | ["--operator", _] | ["node", "--operator", _]:
+            return True
+        case _:
+            return False
 
 
 def _run_node(operator: str | None) -> int:
@@ -42,6 +52,17 @@
     return run(operator)
 
 
+def exit_at_once(code: int) -> NoReturn:
+    """End the process without the interpreter's finalization, which takes most of the time from the last response on.
+
+    A node has closed all that it holds by then, and the platform kills a process that ends too late.
+    """
+    logging.shutdown()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
+
+
 def _run_command(command_line: list[str]) -> int:
     try:
         from marlstep.cli.main import call
@@ -56,4 +77,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    exit_code = main()
+    if runs_node(sys.argv[1:]):
+        exit_at_once(exit_code)
+    sys.exit(exit_code)
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -8,6 +8,10 @@
 import sys
 from pathlib import Path
 
+import pytest
+
+from marlstep.__main__ import runs_node
+
 PROGRAM = """
 import builtins, os, signal, sys
 real_import = builtins.__import__
@@ -26,3 +30,36 @@
     environ = {**os.environ, "PROXY_CONFIG": str(tmp_path / "none.json")}
     ended = subprocess.run([sys.executable, "-c", PROGRAM], env=environ, capture_output=True, text=True)
     assert ended.returncode == 2 and "none.json" in ended.stderr, (signal.SIGHUP, ended)
+
+
+EXIT_PROGRAM = """
+import atexit, logging
+from marlstep.__main__ import exit_at_once
+atexit.register(lambda: print("finalized", flush=True))
+logging.basicConfig()
+logging.warning("last line")
+print("output", end="")
+exit_at_once(3)
+"""
+
+
+def test_a_node_ends_without_finalization_but_with_all_of_its_output() -> None:
+    # Guards against an exit that takes most of the margin in which the platform lets a process end.
+    ended = subprocess.run([sys.executable, "-c", EXIT_PROGRAM], capture_output=True, text=True)
+    assert (ended.returncode, ended.stdout) == (3, "output") and "last line" in ended.stderr
+
+
+@pytest.mark.parametrize(
+    ("command_line", "expected"),
+    [
+        ([], True),
+        (["node"], True),
+        (["--operator", "n1.toml"], True),
+        (["node", "--operator", "n1.toml"], True),
+        (["fleet", "status", "--operator", "n1.toml"], False),
+        (["--help"], False),
+        (["node", "--operator"], False),
+    ],
+)
+def test_only_the_platforms_command_lines_run_the_node(command_line: list[str], expected: bool) -> None:
+    assert runs_node(command_line) is expected
