Read no allowances from a document of tenants of another form

What operators saw: a committed document of tenants whose content is a list raised AttributeError in the leader whenever it divided the quotas. Cause: `_tenant_allowances` took the form for granted, though the group commits what nodes exclude. Change: what has another form has no allowances; nodes reject such content themselves. Test: lists, and tenants and allowances of other types (4 of 5 cases failed before).

--- a/marlstep/replicated_config/store.py
+++ b/marlstep/replicated_config/store.py
@@ -339,9 +339,15 @@
 
 
 def _tenant_allowances(content: str) -> dict[str, float]:
-    tenants = orjson.loads(content).get("tenants", {})
-    allowance_by_tenant = {name: tenant.get("allowance_per_s") for name, tenant in tenants.items()}
-    return {name: float(allowance) for name, allowance in allowance_by_tenant.items() if allowance}
+    """Return the allowances in a document of tenants; what has another form has none, as nodes reject it themselves."""
+    document = orjson.loads(content)
+    tenants = document.get("tenants") if isinstance(document, dict) else None
+    allowances: dict[str, float] = {}
+    for name, tenant in tenants.items() if isinstance(tenants, dict) else ():
+        allowance = tenant.get("allowance_per_s") if isinstance(tenant, dict) else None
+        if isinstance(allowance, int | float) and allowance:
+            allowances[name] = float(allowance)
+    return allowances
 
 
 def _check_shrinkage(kind: Kind, document: Document | None, content: str) -> None:
--- a/tests/replicated_config/test_store.py
+++ b/tests/replicated_config/test_store.py
@@ -168,3 +168,24 @@
 @pytest.mark.parametrize("do", ["get", "ack", "commit", "withdraw", "none"])
 def test_a_command_about_an_unknown_document_is_rejected_before_the_rest_is_parsed(do: str) -> None:
     assert ConfigLog().store.apply({"do": do, "doc": "d"}) == {"refused": "no such document"}
+
+
+@pytest.mark.parametrize(
+    ("content", "allowances"),
+    [
+        ('{"tenants":{"riad":{"allowance_per_s":2.5},"dar":{}}}', {"riad": 2.5}),
+        ("[1]", {}),
+        ('{"tenants":[1]}', {}),
+        ('{"tenants":{"riad":[]}}', {}),
+        ('{"tenants":{"riad":{"allowance_per_s":"much"}}}', {}),
+    ],
+)
+def test_a_document_of_tenants_of_another_form_has_no_allowances(
+    content: str, allowances: dict[str, float]
+) -> None:
+    # Guards against a leader that fails over a committed document whose content is a list.
+    log = ConfigLog("a/1")
+    log.put(content, 0, kind="tenants")
+    log.acknowledge("a/1")
+    assert log.commit() == [{"in_force": 1}]
+    assert log.store.allowances() == allowances
