Name the key of a trace's format or unit that is a list or a table

What operators saw: `trace.format` or `trace.columns.unit` given as a list ended in a TypeError. Cause: the value was looked up in a table before its type was known. Change: anything but a text is the same ConfigError as an unknown text, which names the key. Test: tests/config/test_traces.py, three new cases that raised TypeError before.

--- a/marlstep/config/traces.py
+++ b/marlstep/config/traces.py
@@ -98,7 +98,7 @@
 
 def _check_format(section: Table, format_name: str) -> None:
     configured_format = section.get("format", format_name)
-    if configured_format not in MODULES:
+    if not isinstance(configured_format, str) or configured_format not in MODULES:
         raise _not_one_of("trace.format", sorted(MODULES))
     if configured_format != format_name:
         raise ConfigError.unmet(
@@ -212,7 +212,7 @@
     if time is None:
         raise ConfigError.unmet("trace.columns.time", "is missing")
     unit = row.get("unit")
-    if unit not in UNITS:
+    if not isinstance(unit, str) or unit not in UNITS:
         raise _not_one_of("trace.columns.unit", UNITS)
     has_header = row.get("header", True)
     if not isinstance(has_header, bool):
--- a/tests/config/test_traces.py
+++ b/tests/config/test_traces.py
@@ -45,6 +45,8 @@
     [
         ({"colour": 1}, "trace.colour is not known"),
         ({"format": "google-2019"}, "trace.format is google-2019, but the trace is read as google-2011"),
+        ({"format": ["google-2011"]}, "trace.format must be one of"),
+        ({"format": {}}, "trace.format must be one of"),
         ({"rules": [{"kinds": ["1"]}]}, r"trace.rules\[0\].class is missing"),
         ({"rules": [{"class": "x"}]}, r"trace.rules\[0\].class must be one of"),
         (
@@ -64,3 +66,5 @@
         read_trace({}, "generic")
     with pytest.raises(ConfigError, match=r"trace\.columns\.unit must be one of"):
         read_trace({"columns": {"time": "t"}}, "generic")
+    with pytest.raises(ConfigError, match=r"trace\.columns\.unit must be one of"):
+        read_trace({"columns": {"time": "t", "unit": ["s"]}}, "generic")
