Report a replay whose processes time out as a replay error

What operators saw: a TimeoutError with a traceback from `trace replay`. Cause: `replaying.replay` let the time-outs of its processes through, and the command catches ReplayError. Change: it raises ReplayError with what did not happen. Test: the command ends with 2 and the message.

--- a/marlstep/traces/replay/replaying.py
+++ b/marlstep/traces/replay/replaying.py
@@ -17,11 +17,12 @@
 from marlstep.traces.replay.figures import ServiceMetrics
 from marlstep.traces.replay.loopback import Loopback
 from marlstep.traces.replay.machine_info import MachineInfo
-from marlstep.traces.replay.settings import Settings
+from marlstep.traces.replay.settings import ReplayError, Settings
 from marlstep.traces.replay.virtual import VirtualReplay
 from marlstep.traces.retries import Retries
 from marlstep.traces.schedule import Schedule
 
+TIMED_OUT = "a process of the replay did not get ready or exit in time"
 LATENESS_PERCENTILE = 99.0  # percentile of the sending delay that decides whether a run is valid
 
 
@@ -83,9 +84,8 @@
 
     Raises:
         ConfigError: The node's configuration is invalid.
-        ReplayError: A process did not start, or exited before the first request.
+        ReplayError: A process did not start, get ready or exit in time, or exited before the first request.
         ScheduleError: The schedule is corrupt.
-        TimeoutError: A process did not get ready or exit within its timeout.
     """
     config = check({**plan.settings.config, "naming": None})
     classes = {request_class.name: request_class for request_class in config.settings.classes}
@@ -113,7 +113,10 @@
     plan: ReplayPlan, campaign: Campaign, requests: Iterator[PlannedRequest]
 ) -> _Measurements:
     loopback = Loopback(plan.settings, campaign)
-    uvloop.run(loopback.run(requests))
+    try:
+        uvloop.run(loopback.run(requests))
+    except TimeoutError as error:
+        raise ReplayError(TIMED_OUT) from error
     return _Measurements(loopback.processes.account, loopback.processes.node_cpu_s)
 
 
--- a/tests/cli/test_trace.py
+++ b/tests/cli/test_trace.py
@@ -115,3 +115,14 @@
         options = ["--virtual", "--for", "1s", "--speed", "5", "--config", str(ROOT / "deploy" / "node.json")]
         assert call(["trace", "replay", *options, "--out", str(out), schedule]) == 0
     assert json.loads(out.read_text("utf-8"))["machine"] == machine.to_json()
+
+
+def test_a_replay_whose_processes_time_out_ends_with_a_message(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    schedule, source = str(tmp_path / "a.sched"), str(EXAMPLES / "google-2011.csv")
+    assert call(["trace", "compile", "--format", "google-2011", "--out", schedule, source]) == 0
+    config = str(ROOT / "deploy" / "node.json")
+    with patch("marlstep.traces.replay.loopback.Loopback.run", side_effect=TimeoutError):
+        assert call(["trace", "replay", "--config", config, "--for", "1s", schedule]) == 2
+    assert "did not get ready or exit in time" in capsys.readouterr().err
