Reject a boolean clock and a message name of two lines at the simulator's adapter

What the simulator saw: `clockUs: true` counted as 1, and a newline in `m` gave an error on two lines. Cause: a boolean is an int in Python, and the name was printed as it came. Change: both are errors on one line; so is an `m` that is no text. Test: three new rows of test_malformed_input_is_reported_on_one_line (failed before).

--- a/marlstep/simulator/adapter.py
+++ b/marlstep/simulator/adapter.py
@@ -128,14 +128,16 @@
             raw = orjson.loads(text)
         except orjson.JSONDecodeError as error:
             raise WireError(line, f"not JSON: {error}") from error
-        if not isinstance(raw, dict) or "m" not in raw:
-            raise WireError(line, "not a message: expected an object with a field 'm'")
+        if not isinstance(raw, dict) or not isinstance(raw.get("m"), str):
+            raise WireError(line, "not a message: expected an object with a text in the field 'm'")
+        if not raw["m"].isprintable():
+            raise WireError(line, f"not a message: {raw['m']!r}")
         yield line, raw
 
 
 def _read_clock(line: int, raw: RawMessage) -> int:
     clock = raw.get("clockUs")
-    if not isinstance(clock, int):
+    if isinstance(clock, bool) or not isinstance(clock, int):
         raise WireError(line, f"mark: clockUs must be a whole number, got {clock!r}")
     return clock
 
--- a/tests/simulator/test_adapter.py
+++ b/tests/simulator/test_adapter.py
@@ -101,6 +101,9 @@
     [
         ("nonsense", "line 2: not JSON"),
         ('{"serverId":3}', "line 2: not a message"),
+        ('{"m":["mark"]}', "line 2: not a message"),
+        ('{"m":"dance\\nand sing","serverId":3}', r"line 2: not a message: 'dance\nand sing'"),
+        ('{"m":"mark","clockUs":true}', "line 2: mark: clockUs must be a whole number, got True"),
         ('{"m":"dance","serverId":3}', "line 2: dance: unknown event"),
         ('{"m":"request","serverId":8,"id":"a"}', "line 2: request: unknown instance 8"),
         ('{"m":"drain"}', "line 2: drain: missing or unknown 'serverId'"),
