--- a/marlstep/admin/api.py
+++ b/marlstep/admin/api.py
@@ -8,6 +8,7 @@
 POST /v1/drain               begin the graceful shutdown, as on SIGTERM
 GET  /v1/metrics             all metrics, in the text format of Prometheus
 GET  /v1/parts               the optional components of this node, each with its status
+GET  /v1/fleet/asked/PROCESS/NUMBER  what became of an order: its process and number are in the response to it
 GET  /v1/NAME                resources of components, such as /v1/fleet, /v1/fleet/leases, /v1/fleet/rules/NAME
 POST /v1/fleet/NAME          orders to components, such as /v1/fleet/rules/put, with arguments as a JSON object
 """
