--- a/marlstep/hot_restart/predecessor.py
+++ b/marlstep/hot_restart/predecessor.py
@@ -227,7 +227,7 @@
         self._send_keys()
         in_use, needed = self._host.memory_and_concurrency_in_use()
         if self._handing_over:
-            self._sharing.drain(needed)
+            self._sharing.hand_over(needed)
         self._apply_capacity_limit()
         self._send_capacity_grant(self._sharing.grant(in_use))
 
--- a/marlstep/hot_restart/resource_sharing.py
+++ b/marlstep/hot_restart/resource_sharing.py
@@ -13,7 +13,7 @@
 from datetime import datetime, timedelta
 
 FULL_SHARE, HALF_SHARE = 1.0, 0.5  # of the node's capacity
-MIN_DRAINING_SHARE = 0.2  # kept by a predecessor that hands over, for requests that still arrive
+MIN_HANDOVER_SHARE = 0.2  # kept by a predecessor that hands over, for requests that still arrive
 MIN_TRANSFER_SHARE = 0.02  # smallest grant except the last, so that small changes cause no messages
 
 
@@ -33,7 +33,7 @@
         self._owned_share = FULL_SHARE
         self._granted_share = 0.0  # to the successor
         self._has_predecessor = self._has_successor = False
-        self._draining_limit = FULL_SHARE  # lowered once this process hands over
+        self._handover_limit = FULL_SHARE  # lowered once this process hands over
         self._predecessor_ended_by: datetime | None = None  # set once the predecessor is lost
         self._lost_shares: list[LostShare] = []
 
@@ -48,14 +48,14 @@
 
         Rule: the whole share that it owns. Exceptions: with a successor at most half of the share of both, because the
         rest is to be granted; beside lost successors alone at most half of the share of all; while it hands over
-        at most the share that its requests in flight may need, but not less than `MIN_DRAINING_SHARE` for that reason.
+        at most the share that its requests in flight may need, but not less than `MIN_HANDOVER_SHARE` for that reason.
         """
         limit_beside_others = FULL_SHARE
         if self._has_successor:
             limit_beside_others = (self._owned_share + self._granted_share) * HALF_SHARE
         elif self._lost_shares:
             limit_beside_others = (self._owned_share + self._lost_share) * HALF_SHARE
-        return min(self._owned_share, limit_beside_others, self._draining_limit)
+        return min(self._owned_share, limit_beside_others, self._handover_limit)
 
     @property
     def _lost_share(self) -> float:
@@ -111,20 +111,20 @@
 
     def successor_lost(self, now: datetime, termination_timeout: timedelta) -> None:
         """Reclaim the granted share once the lost successor must have ended, `termination_timeout` from now."""
-        self._draining_limit = FULL_SHARE  # no process is left to hand over to
+        self._handover_limit = FULL_SHARE  # no process is left to hand over to
         if self._has_successor:
             self._lost_shares.append(LostShare(self._granted_share, now + termination_timeout))
             self._has_successor, self._granted_share = False, 0.0
 
-    def drain(self, needed_share: float) -> None:
+    def hand_over(self, needed_share: float) -> None:
         """Limit this process, which hands over, to the share that its requests in flight may need.
 
-        The new limit is the needed share, but at least `MIN_DRAINING_SHARE` and never above the previous limit.
+        The new limit is the needed share, but at least `MIN_HANDOVER_SHARE` and never above the previous limit.
 
         Args:
             needed_share: the most that the requests in flight may use, 0 to 1.
         """
-        self._draining_limit = min(self.limit, max(MIN_DRAINING_SHARE, needed_share))
+        self._handover_limit = min(self.limit, max(MIN_HANDOVER_SHARE, needed_share))
 
     def grant(self, share_in_use: float, all_remaining: bool = False) -> float:
         """Grant the free share to the successor and return the share to send; 0 if there is nothing to send.
--- a/marlstep/upstreams/attempt.py
+++ b/marlstep/upstreams/attempt.py
@@ -16,7 +16,7 @@
     AttemptError,
     ConnectError,
     ConnectTimeoutError,
-    RemoteProtocolError,
+    InvalidResponseError,
     ServerDisconnectedError,
 )
 from marlstep.upstreams.outcomes import response_outcome
@@ -150,7 +150,7 @@
             self._reader.feed(self.inbox.take(self.inbox.used))
             if self.at_eof:
                 self._reader.feed_eof(self._is_head_request)
-        except RemoteProtocolError as error:
+        except InvalidResponseError as error:
             self._end(AttemptOutcome.CONNECTION_LOST, error)
         else:
             if self._reader.is_complete:
--- a/marlstep/upstreams/errors.py
+++ b/marlstep/upstreams/errors.py
@@ -47,11 +47,11 @@
         super().__init__("connection lost before the response was complete")
 
 
-class RemoteProtocolError(AttemptError):
+class InvalidResponseError(AttemptError):
     """Base: the server sent data that is not a valid response."""
 
 
-class MalformedResponseError(RemoteProtocolError):
+class MalformedResponseError(InvalidResponseError):
     """The response could not be parsed."""
 
     def __init__(self, cause: Exception) -> None:
@@ -60,7 +60,7 @@
         self.cause = cause
 
 
-class ResponseTooLargeError(RemoteProtocolError):
+class ResponseTooLargeError(InvalidResponseError):
     """The response is larger than the configured limit."""
 
     def __init__(self, limit_bytes: int) -> None:
@@ -69,7 +69,7 @@
         self.limit_bytes = limit_bytes
 
 
-class TruncatedResponseError(RemoteProtocolError):
+class TruncatedResponseError(InvalidResponseError):
     """The server closed the stream before the response was complete."""
 
     def __init__(self, received_bytes: int) -> None:
--- a/tests/hot_restart/test_predecessor.py
+++ b/tests/hot_restart/test_predecessor.py
@@ -6,7 +6,7 @@
 
 from marlstep.hot_restart import messages
 from marlstep.hot_restart.predecessor import TRANSITIONS, Effect, Event, State, shutdown_hands_over
-from marlstep.hot_restart.resource_sharing import FULL_SHARE, MIN_DRAINING_SHARE
+from marlstep.hot_restart.resource_sharing import FULL_SHARE, MIN_HANDOVER_SHARE
 from marlstep.units import MILLISECOND
 from tests.support.restart_pair import TERMINATION_TIMEOUT, MessagePipe, serving_pair
 
@@ -17,7 +17,7 @@
     pair.kill(pair.successor)
     assert pair.predecessor.saw_successor_lost and not pair.predecessor.hot_restart.has_serving_successor
     # Runs of the killed successor may still use the cores, so its share is reclaimed later.
-    assert pair.predecessor.hot_restart.sharing.limit == pytest.approx(MIN_DRAINING_SHARE)
+    assert pair.predecessor.hot_restart.sharing.limit == pytest.approx(MIN_HANDOVER_SHARE)
     pair.clock.advance(TERMINATION_TIMEOUT / MILLISECOND)
     pair.predecessor.hot_restart.tick(pair.clock.now())
     assert pair.predecessor.hot_restart.sharing.limit == FULL_SHARE
--- a/tests/hot_restart/test_resource_sharing.py
+++ b/tests/hot_restart/test_resource_sharing.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marlstep.hot_restart.resource_sharing import FULL_SHARE, HALF_SHARE, MIN_DRAINING_SHARE, ResourceSharing
+from marlstep.hot_restart.resource_sharing import FULL_SHARE, HALF_SHARE, MIN_HANDOVER_SHARE, ResourceSharing
 from marlstep.units import MILLISECOND, SECOND
 from tests.frontends.test_parsers import FIXED
 from tests.support.node import START
@@ -31,7 +31,7 @@
             case "give" | "rest" if not lost:
                 successor.receive(predecessor.grant(fraction, all_remaining=step == "rest"))
             case "drain" if not lost:
-                predecessor.drain(fraction)
+                predecessor.hand_over(fraction)
             case "lost" if not lost:
                 lost = True
                 predecessor.successor_lost(now, TERMINATION_TIMEOUT)
@@ -73,7 +73,7 @@
     assert pair.predecessor.hot_restart.begin_shutdown(pair.clock.now())
     pair.predecessor.connections_in_use = 0.0
     pair.run_for(40)
-    assert pair.successor.hot_restart.sharing.limit == pytest.approx(FULL_SHARE - MIN_DRAINING_SHARE)
+    assert pair.successor.hot_restart.sharing.limit == pytest.approx(FULL_SHARE - MIN_HANDOVER_SHARE)
     pair.predecessor.hot_restart.finish()
     pair.exchange()
     assert pair.successor.hot_restart.sharing.limit == FULL_SHARE and pair.successor.hot_restart.is_idle
--- a/tests/upstreams/test_response_reader.py
+++ b/tests/upstreams/test_response_reader.py
@@ -6,8 +6,8 @@
 
 from marlstep.upstreams.errors import (
     AttemptError,
+    InvalidResponseError,
     MalformedResponseError,
-    RemoteProtocolError,
     ResponseTooLargeError,
     TruncatedResponseError,
 )
@@ -103,4 +103,4 @@
 
 def test_response_errors_share_a_base_class() -> None:
     for error in (MalformedResponseError, ResponseTooLargeError, TruncatedResponseError):
-        assert issubclass(error, RemoteProtocolError) and issubclass(error, AttemptError)
+        assert issubclass(error, InvalidResponseError) and issubclass(error, AttemptError)
