--- a/marlstep/fault_injection/soak/clients.py
+++ b/marlstep/fault_injection/soak/clients.py
@@ -6,7 +6,6 @@
 import contextlib
 import random
 import socket
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from marlstep.emulators.work_plan import WorkPlan
@@ -318,15 +317,13 @@
         self._traffic, self._size, self._chance = traffic, size, chance
         self._sockets: list[socket.socket] = []
 
-    async def run(self, on_full: Callable[[], None]) -> None:
-        """Connect one after another, again where the node has closed some; call `on_full` once all stand."""
+    async def run(self) -> None:
+        """Connect one after another, and again where the node has closed some."""
         while not self._traffic.stopped.is_set():
             await self._traffic.may_connect.wait()
             self._drop_closed()
             if len(self._sockets) < self._size:
                 self._connect()
-            else:
-                on_full()
             await asyncio.sleep(0.01)
         self.close()
 
