Accept errors of keyed work after a kill in the check of two versions together

That work runs at most once is checked as before. Test: four cases in tests/test_mixed_versions.py, three of which still fail the check.

--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -86,6 +86,22 @@
         )
 
 
+def test_an_error_is_a_failure_except_for_work_with_an_effect_once_the_process_that_decides_was_killed() -> (
+    None
+):
+    for request_class, sent_at, keys_lost_at, failures in (
+        ("setpoint-cmd", KILLED_AT + 0.1, KILLED_AT, 0),
+        ("setpoint-cmd", KILLED_AT - 2.0, KILLED_AT, 1),
+        ("setpoint-cmd", KILLED_AT + 0.1, None, 1),
+        ("temp-history", KILLED_AT + 0.1, KILLED_AT, 1),
+    ):
+        record = Record()
+        [attempt] = add_work(record, request_class, "error")
+        attempt.sent_at = sent_at
+        verdict = check_record(record, Counter(), KILLED_AT, keys_lost_at)
+        assert len(verdict.failures) == failures, (request_class, sent_at, keys_lost_at)
+
+
 def test_a_lost_response_is_a_failure_unless_its_process_was_killed_just_before() -> None:
     for lost_at, killed_at, failures in (
         (KILLED_AT + 0.1, KILLED_AT, 0),
