Repeat keyed work across the kills of the soak that leave another process

Cause: the soak forgot all keyed work at each kill, so it did not check "an effect at most once" where it matters most: after the old process is killed beside a ready one, and after a successor is killed in the handover. Change: keyed work is forgotten only where no process can know it: the only process is killed, the old one before the new one was ready, or the old one has ended before its replacement is ready.

--- a/marlstep/fault_injection/soak/steps.py
+++ b/marlstep/fault_injection/soak/steps.py
@@ -87,10 +87,17 @@
 
     # Starts and ends of processes.
 
-    async def _replace_all(self, *, idle: bool = False) -> NodeProcess:
-        """Start a process where none serves, and let clients connect once it is ready."""
+    async def _replace_all(self, *, idle: bool = False, keeps_keys: NodeProcess | None = None) -> NodeProcess:
+        """Start a process where none serves, and let clients connect once it is ready.
+
+        Args:
+            idle: Whether no client has connected yet, so that the descriptors of an idle process are recorded.
+            keeps_keys: An older process that still runs; keyed work is repeated if it still does in the end.
+        """
         process = await self._platform.start_process()
         await self._require_ready(process)
+        if keeps_keys is None or not keeps_keys.running:
+            self._traffic.forget_keyed_work()
         if idle:
             self._record_idle_descriptors()
         self._platform.naming.wants_requests = True
@@ -162,15 +169,14 @@
             await self._upgrade(step)
 
     async def _kill_new_in_handover(self, step: Step) -> None:
-        _, new = await self._start_beside()
+        old, new = await self._start_beside()
         await self._require_ready(new)
-        self._terminate(self._platform.running[-2], self._platform.upgrade_kill_s())
+        self._terminate(old, self._platform.upgrade_kill_s())
         await asyncio.sleep(step.delay_s / 10)
         self._stop_connecting()
         self._platform.naming.wants_requests = False  # until the third process serves
         await self._kill_early(new)
-        self._traffic.forget_keyed_work()
-        await self._replace_all()
+        await self._replace_all(keeps_keys=old)
 
     async def _kill_old(self, step: Step) -> None:
         old, new = await self._start_beside()
@@ -179,7 +185,8 @@
         else:
             await asyncio.sleep(step.delay_s)
         await self._kill_early(old)
-        self._traffic.forget_keyed_work()
+        if not step.first:  # the new process may not have met the old one, and then knows none of its keys
+            self._traffic.forget_keyed_work()
         await self._require_ready(new)
 
     async def _kill_alone(self, _step: Step) -> None:
