Log by stage which requests the core answers before a stop

Cause: at the end of a drain the controller or the core may give the last responses, and the log showed neither. Change: GracefulShutdown.respond_to_all logs how many requests it answers, by stage, where there are any.

--- a/marlstep/core/drain.py
+++ b/marlstep/core/drain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from datetime import datetime, timedelta
 
@@ -134,5 +135,9 @@
 
     def respond_to_all(self) -> None:
         """Respond to all open requests. This is a fallback: the controller normally has responded earlier."""
+        unanswered = Counter(request.stage.value for request in self._requests if not request.is_settled)
+        if unanswered:
+            stages = ", ".join(f"{stage}: {count}" for stage, count in sorted(unanswered.items()))
+            log.warning("requests unanswered before the stop: %s", stages)
         for request in self._requests:
             self._responses.respond_without_outcome(request)
