Reject no repeat whose work may have run in another attempt

Callers saw: the second try of a keyed request, which waits for the run of the first, got 'later' (uwsgi: 503 'it never ran') at the stop of a drain, though the node ran the request. A front end then runs it on the next node. Cause: respond_without_outcome asked only whether a run of this very request may have begun; a repeat has none. Ruled out: the controller (answers 69 ms before the stop, these came at 150) and deadlines (none was reached). Change: response_rules.work_may_have_run judges all attempts of the work, for each answer without an outcome and for the controller's rejections. Also covered: a repeat not decided yet, one of a sibling's work, one without agreed documents.

--- a/marlstep/core/intake.py
+++ b/marlstep/core/intake.py
@@ -80,7 +80,10 @@
         return request.handle
 
     def _reject_without_config(self, request: Request) -> None:
-        """Reject a request because the node has no configuration. The controller never sees this request."""
+        """Reject a request because the node has no configuration, unless its work may have run here before.
+
+        The controller never sees this request.
+        """
         if not request.is_settled:
             self._counters.count(request, NO_CONFIG_COUNT)
-            self._responses.reject(request)
+            self._responses.respond_without_outcome(request)
--- a/marlstep/core/request_actions.py
+++ b/marlstep/core/request_actions.py
@@ -79,9 +79,9 @@
             request.backend.preempt(request)
 
     def reject(self, request: Request, action: Reject) -> None:
-        """Send a rejection, or a failure if the request has an effect and may have run."""
+        """Send a rejection, or a failure if the request has an effect and its work may have run in any attempt."""
         has_effect = request.class_settings.effect is not Effect.IDEMPOTENT
-        if may_reject(may_have_run=request.may_have_run, has_effect=has_effect):
+        if may_reject(may_have_run=self._responses.work_may_have_run(request), has_effect=has_effect):
             retry_after = span(action.retry_after_us)
             response = Response(
                 ResponseStatus.REJECTED, retry_after=retry_after, no_failover=action.no_failover
--- a/marlstep/core/response_rules.py
+++ b/marlstep/core/response_rules.py
@@ -8,7 +8,28 @@
 from __future__ import annotations
 
 from marlstep.admission.events import Outcome
-from marlstep.core.interfaces import ResponseStatus
+from marlstep.core.idempotency import KeyRecord
+from marlstep.core.interfaces import Request, ResponseStatus, Stage
+
+# Stages in which a request stands behind another attempt that runs or has run, or that a sibling may have run.
+WAITS_FOR_OTHER_ATTEMPT = frozenset({Stage.CLAIMING, Stage.ATTACHED})
+
+
+def work_may_have_run(request: Request, record: KeyRecord | None, original: Request | None) -> bool:
+    """Decide whether the work of a request has run or may have run, in this attempt or in another one on this node.
+
+    Rule: it may have if a run of this request may have begun, or if the request waits for another attempt. A request
+    that the controller has not decided on yet may repeat known work as well: then the original request decides, and
+    one that is not in flight in this process may have run.
+
+    Args:
+        request: the request.
+        record: the record of the work under the request's key; None if the request has no key or its work is unknown.
+        original: the original request of the work, which may be `request`; None if it is not in flight here.
+    """
+    if request.may_have_run or request.stage in WAITS_FOR_OTHER_ATTEMPT:
+        return True
+    return record is not None and (original is None or original.may_have_run)
 
 
 def status_after_run(outcome: Outcome, *, known_to_have_run: bool) -> ResponseStatus:
--- a/marlstep/core/responses.py
+++ b/marlstep/core/responses.py
@@ -11,12 +11,17 @@
 
 from marlstep.admission.events import ClientDisconnected, Outcome, RunEnded
 from marlstep.admission.settings import Effect
+from marlstep.core.arrivals import effective_arrival_time, original_in_flight
 from marlstep.core.counters import RequestCounters
 from marlstep.core.event_queue import EventQueue
 from marlstep.core.idempotency import KeyTable
 from marlstep.core.interfaces import Request, Response, ResponseStatus, Stage
 from marlstep.core.request_registry import RequestRegistry
-from marlstep.core.response_rules import status_of_repeat, status_without_outcome
+from marlstep.core.response_rules import (
+    status_of_repeat,
+    status_without_outcome,
+    work_may_have_run,
+)
 from marlstep.core.served_settings import ServedSettings
 from marlstep.timer_queue import TimerQueue
 from marlstep.units import ZERO, span
@@ -63,19 +68,28 @@
         request.frontend.deliver(request.response_handle, response)
         self.settle(request)
 
+    def work_may_have_run(self, request: Request) -> bool:
+        """Return whether the request's work has run or may have run on this node, in any attempt.
+
+        If so, the request must not be rejected: the client would run the work again on another node.
+        """
+        key = request.idempotency_key
+        if key is None:
+            return work_may_have_run(request, None, None)
+        arrived_at = effective_arrival_time(self._timeline.now(), request.inbound.arrived_at)
+        record = self._keys.find(key, arrived_at)
+        original = original_in_flight(self._requests, request, record) if record else None
+        return work_may_have_run(request, record, original)
+
     def reject(self, request: Request) -> None:
-        """Send a rejection, which promises that this attempt did not run, with the longest Retry-After."""
+        """Send a rejection, which promises that the work did not run here, with the longest Retry-After."""
         self.respond(request, Response(ResponseStatus.REJECTED, retry_after=self.retry_after()))
 
     def respond_without_outcome(self, request: Request) -> None:
-        """Respond before an outcome is known: expired if the work may have run, else rejected.
-
-        While the work is being claimed, an earlier attempt of it may have run in a sibling process.
-        """
+        """Respond before an outcome is known: expired if the work may have run, in any attempt, else rejected."""
         if request.is_settled:
             return
-        may_have_run = request.may_have_run or request.stage is Stage.CLAIMING
-        status = status_without_outcome(may_have_run=may_have_run)
+        status = status_without_outcome(may_have_run=self.work_may_have_run(request))
         if status is ResponseStatus.REJECTED:
             self.reject(request)
         else:
--- a/tests/frontends/support.py
+++ b/tests/frontends/support.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from marlstep.admission.events import Outcome
 from marlstep.frontends.resp import RespConnection, RespFrontend
 from marlstep.frontends.resp_wire import write_frame
@@ -60,10 +62,10 @@
 
 
 class UwsgiHarness:
-    """A uwsgi frontend and connections of its clients."""
+    """A uwsgi frontend and connections of its clients. Keyword arguments replace keys of the settings."""
 
-    def __init__(self, cores: int = 2) -> None:
-        self.node = CoreDriver(cores)
+    def __init__(self, cores: int = 2, **other: Any) -> None:
+        self.node = CoreDriver(cores, **other)
         self.frontend = UwsgiFrontend(
             self.node.core, self.node.clock.timeline, self.node.backend, 8, 2 * SECOND, MAPPING, 100
         )
--- a/tests/frontends/test_uwsgi.py
+++ b/tests/frontends/test_uwsgi.py
@@ -5,6 +5,7 @@
 from marlstep.admission.events import Outcome
 from marlstep.frontends.uwsgi_wire import write_packet
 from marlstep.units import SECOND
+from tests.core.test_repeats import KEYED
 from tests.frontends.support import READ_VARIABLES, RESPONSE, UwsgiHarness
 from tests.support.node import FakeTransport
 
@@ -206,3 +207,13 @@
         harness.node.clock.advance(150)
     harness.send(READ_VARIABLES)
     assert harness.node.core.unanswered == 1
+
+
+def test_a_repeat_that_waits_for_a_run_gets_no_503_at_the_stop() -> None:
+    # Guards against "503 refused, it never ran" for work that runs: the gateway would send it to another node.
+    harness = UwsgiHarness(**KEYED)
+    variables = {"X_CLASS": "keyed", "X_ID": "scan-1"}
+    connections = [harness.send(variables) for _ in range(2)]
+    harness.node.core.respond_to_all()
+    assert [status(connection) for connection in connections] == [504, 504]
+    assert harness.node.backend.commands[:1] == [("start", "uwsgi-1")]
