Compare uwsgi requests under one id by method, URI and body

Callers saw: a uwsgi client that named the id of another's keyed request got that one's answer; if it came first, the other got 200 with the receipt of a body that was not its own, and its request never ran. Cause: read_request passed no digest, and an unknown digest matched any (KeyRecord.matches_body). Change: a digest of method, URI variables and body; other work under a known id gets 502, in flight and after it. Test replaced: three asserts pinned that an unknown digest matches; that is the fault, now the opposite is asserted.

--- a/marlstep/core/engine.py
+++ b/marlstep/core/engine.py
@@ -41,7 +41,7 @@
 from marlstep.core.drain import GracefulShutdown
 from marlstep.core.event_queue import EventQueue
 from marlstep.core.gauge_timers import GaugeTimers
-from marlstep.core.idempotency import IdempotencyKey, KeyRecord, KeyTable
+from marlstep.core.idempotency import KeyRecord, KeyTable
 from marlstep.core.intake import RequestIntake
 from marlstep.core.interfaces import (
     Backend,
@@ -61,6 +61,7 @@
 from marlstep.core.served_settings import ServedSettings
 from marlstep.core.serving_state import ServingState
 from marlstep.core.sibling_claims import SiblingClaims
+from marlstep.core.work_identity import IdempotencyKey
 from marlstep.timer_queue import TimerQueue
 from marlstep.units import instant_us, span
 
--- a/marlstep/core/idempotency.py
+++ b/marlstep/core/idempotency.py
@@ -6,52 +6,22 @@
 
 - A key is looked up as of the time at which a request arrived, not the time at which it is read. An entry is therefore
   kept beyond its window for as long as a request may wait unread and still be run.
-- A key names one body. Where the wire protocol promises that all attempts of a piece of work carry the same body,
-  frontends pass its digest, and a request with a different digest is not an attempt of that work.
+- A key names one piece of work. Frontends pass a digest of what the request does, and a request with a different digest
+  is not an attempt of that work: it is neither run under the key nor given the work's result.
 - While two processes form one node, an entry may stand for a request of the sibling process (`is_remote`). The entry
   of a local request takes precedence over a report from the sibling.
 """
 
 from __future__ import annotations
 
-import hashlib
 import heapq
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from datetime import datetime, timedelta
-from typing import NamedTuple
 
+from marlstep.core.work_identity import IdempotencyKey
 from marlstep.units import ZERO
 
-DIGEST_BYTES = 16
-DIGEST_MARK = "~"  # separates the request id from the body digest in a label
-
-
-class IdempotencyKey(NamedTuple):
-    """Identifies a piece of work: requests with the same key are attempts of the same work."""
-
-    request_class: str
-    name: str  # chosen by the client
-
-
-def body_digest(body: bytes) -> str:
-    """Return the hexadecimal digest by which request bodies are compared."""
-    return hashlib.blake2b(body, digest_size=DIGEST_BYTES).hexdigest()
-
-
-def encode_label(request_id: str, digest: str) -> str:
-    """Return the label that identifies a request in messages between sibling processes.
-
-    The label stands in the id field of the messages, so that versions that don't know digests still match it.
-    """
-    return f"{request_id}{DIGEST_MARK}{digest}" if digest else request_id
-
-
-def decode_label(label: str) -> tuple[str, str]:
-    """Split a label into the request id and the body digest. The digest is empty if the label has none."""
-    request_id, mark, digest = label.rpartition(DIGEST_MARK)
-    return (request_id, digest) if mark and len(digest) == 2 * DIGEST_BYTES else (label, "")
-
 
 @dataclass(slots=True)
 class KeyRecord:
@@ -64,7 +34,7 @@
         result: the result that repeats share; None if there is none.
         finished: whether the original request has ended.
         is_remote: whether the original request belongs to a sibling process.
-        digest: the digest of the body; empty if unknown.
+        digest: the digest of the work; empty if unknown.
         droppable_at: when the entry may be dropped: later than `expires_at`, as requests that arrived before the end
             of the window may still be unread.
     """
@@ -77,12 +47,12 @@
     digest: str = ""
     droppable_at: datetime | None = None
 
-    def matches_body(self, digest: str) -> bool:
-        """Return whether a request with this body digest may be an attempt of the same work.
+    def is_same_work(self, digest: str) -> bool:
+        """Return whether a request with this digest is an attempt of the same work.
 
-        It may if the digests are equal or one of them is unknown.
+        A request whose digest is unknown is only an attempt of work whose digest is unknown too.
         """
-        return not (self.digest and digest) or self.digest == digest
+        return self.digest == digest
 
     def covers(self, arrived_at: datetime) -> bool:
         """Return whether a request that arrived at `arrived_at` is a repeat of this work.
@@ -171,7 +141,7 @@
             expires_at: the end of the window.
             now: the current time; entries whose time to drop has come are removed.
             max_unread_time: how long a request that arrived before the end may wait unread and still be run.
-            digest: the digest of the body; empty if unknown.
+            digest: the digest of the work; empty if unknown.
         """
         record = self._records.setdefault(key, KeyRecord(request_id))
         record.request_id, record.is_remote, record.finished, record.digest = request_id, False, False, digest
@@ -193,7 +163,7 @@
             max_unread_time: how long a request that arrived before the end may wait unread and still be run.
         """
         for key, record in self:
-            if key[0] == request_class and record.expires_at is not None:
+            if key.request_class == request_class and record.expires_at is not None:
                 self._set_expiry(key, record, record.expires_at + added_window, now, max_unread_time)
                 if not record.is_remote:
                     self.on_changed(key, record, False)
--- a/marlstep/core/intake_checks.py
+++ b/marlstep/core/intake_checks.py
@@ -9,9 +9,10 @@
 
 from marlstep.admission.settings import ClassSettings, Effect
 from marlstep.core.errors import RejectionReason, RepeatedWorkError, RequestRejectedError
-from marlstep.core.idempotency import IdempotencyKey, KeyRecord
+from marlstep.core.idempotency import KeyRecord
 from marlstep.core.interfaces import InboundRequest
 from marlstep.core.served_settings import ServedSettings
+from marlstep.core.work_identity import IdempotencyKey
 
 
 def check_served(inbound: InboundRequest, served: ServedSettings, now: datetime) -> ClassSettings:
@@ -52,8 +53,8 @@
 def check_repeat(inbound: InboundRequest, class_settings: ClassSettings, prior: KeyRecord | None) -> None:
     """Check that a request may repeat the work that its key identifies.
 
-    At-most-once work must not be repeated, as the first attempt ran or may have run. A repeat of keyed work must carry
-    the same body, or it would get the result of other work.
+    At-most-once work must not be repeated, as the first attempt ran or may have run. A repeat of keyed work must
+    have the same digest, or it would get the result of other work.
 
     Args:
         inbound: the request.
@@ -61,11 +62,11 @@
         prior: the record of the work that the request repeats; None for new work.
 
     Raises:
-        RepeatedWorkError: the request repeats at-most-once work, or its body differs.
+        RepeatedWorkError: the request repeats at-most-once work, or it does other work than the first attempt.
     """
     if prior is None:
         return
     if class_settings.effect is Effect.AT_MOST_ONCE:
         raise RepeatedWorkError(RejectionReason.WORK_REPEATED, inbound)
-    if not prior.matches_body(inbound.digest):
+    if not prior.is_same_work(inbound.digest):
         raise RepeatedWorkError(RejectionReason.KEY_BODY_MISMATCH, inbound)
--- a/marlstep/core/interfaces.py
+++ b/marlstep/core/interfaces.py
@@ -14,7 +14,7 @@
 
 from marlstep.admission.events import Outcome
 from marlstep.admission.settings import ClassSettings
-from marlstep.core.idempotency import IdempotencyKey
+from marlstep.core.work_identity import IdempotencyKey
 from marlstep.timer_queue import Timer
 from marlstep.units import ZERO
 
@@ -40,8 +40,8 @@
         entity: the subject of the request, for classes whose responses may be shared by subject; None without one.
         pool: the name of the upstream pool that runs it; empty if it runs on this node's own cores.
         idempotency_key: the name of the work of which this request is one attempt; None if the client gave none.
-        digest: the digest of the body if the wire protocol promises that all attempts of the work carry the same body;
-            else empty.
+        digest: the digest of what the request does, by which it is compared with other requests under its key. Empty if
+            no other work can have the same name.
     """
 
     id: str
@@ -82,7 +82,7 @@
         Args:
             request_class: the class of the work.
             key: the name of the work, chosen by the client.
-            label: the label of the request; see `encode_label`.
+            label: the label of the request; see `WorkLabel`.
             now: the time of the claim.
             on_decided: called once with the result, possibly before this method returns.
 
--- a/marlstep/core/repeats.py
+++ b/marlstep/core/repeats.py
@@ -6,11 +6,12 @@
 
 from marlstep.admission.events import Outcome
 from marlstep.core.arrivals import effective_arrival_time, original_in_flight
-from marlstep.core.idempotency import IdempotencyKey, KeyRecord, KeyTable
+from marlstep.core.idempotency import KeyRecord, KeyTable
 from marlstep.core.interfaces import Request, Stage
 from marlstep.core.request_registry import RequestRegistry
 from marlstep.core.responses import ResponseDelivery
 from marlstep.core.served_settings import ServedSettings
+from marlstep.core.work_identity import IdempotencyKey
 from marlstep.timer_queue import TimerQueue
 from marlstep.units import ZERO, span
 
@@ -82,7 +83,7 @@
 
     def adopt_remote(self, key: IdempotencyKey, remote: KeyRecord) -> None:
         """Record a sibling's report on a piece of work. If the work has ended, end the repeats that wait for it."""
-        class_settings = self._served.classes.get(key[0])
+        class_settings = self._served.classes.get(key.request_class)
         max_unread_time = span(class_settings.deadline_us) if class_settings else ZERO
         self._keys.adopt(key, remote, self._timeline.now(), max_unread_time)
         if remote.finished or remote.result is not None:
--- a/marlstep/core/sibling_claims.py
+++ b/marlstep/core/sibling_claims.py
@@ -7,7 +7,7 @@
 
 from marlstep.admission.settings import Effect
 from marlstep.core.arrivals import ControllerArrivals, effective_arrival_time
-from marlstep.core.idempotency import IdempotencyKey, KeyRecord, KeyTable, encode_label
+from marlstep.core.idempotency import KeyRecord, KeyTable
 from marlstep.core.interfaces import (
     ClaimResult,
     Request,
@@ -17,6 +17,7 @@
     Stage,
 )
 from marlstep.core.responses import ResponseDelivery
+from marlstep.core.work_identity import IdempotencyKey, WorkLabel
 from marlstep.timer_queue import TimerQueue
 
 
@@ -32,16 +33,16 @@
 
     Rule: work runs only if its claim was granted; otherwise an earlier attempt may have run in a sibling process, and
     the request fails. It is not rejected, as a client may send rejected work to another node. Exception: work that is
-    known by now is not run again by a repeat but gives it its result, if the repeat is permitted and has the same body.
+    known by now is not run again by a repeat but gives it its result, if the repeat is permitted and has its digest.
 
     Args:
         result: the reply of the sibling processes.
         prior: the record of the work at the time of the reply; None if the work is unknown.
         effect: the effect of the request's class, which says whether repeats are allowed.
-        digest: the digest of the request's body; empty if unknown.
+        digest: the digest of the request's work; empty if unknown.
     """
     if prior is not None:
-        may_repeat = effect is not Effect.AT_MOST_ONCE and prior.matches_body(digest)
+        may_repeat = effect is not Effect.AT_MOST_ONCE and prior.is_same_work(digest)
         return ClaimDecision.ENQUEUE if may_repeat else ClaimDecision.FAIL
     return ClaimDecision.ENQUEUE if result is ClaimResult.GRANTED else ClaimDecision.FAIL
 
@@ -76,8 +77,8 @@
             # The claim may be decided before `claim` returns, but the frontend must get the handle before a response.
             self._timeline.soon(lambda: self._on_claim_decided(request, key, result))
 
-        label = encode_label(request.id, request.inbound.digest)
-        return siblings.claim(*key, label, now, on_decided)
+        label = WorkLabel(request.id, request.inbound.digest).encode()
+        return siblings.claim(key.request_class, key.name, label, now, on_decided)
 
     def _on_claim_decided(self, request: Request, key: IdempotencyKey, result: ClaimResult) -> None:
         granted = result is ClaimResult.GRANTED
--- a/marlstep/frontends/resp_fields.py
+++ b/marlstep/frontends/resp_fields.py
@@ -12,8 +12,8 @@
 from datetime import datetime, timedelta
 from typing import Any
 
-from marlstep.core.idempotency import body_digest
 from marlstep.core.interfaces import InboundRequest, Response, ResponseStatus
+from marlstep.core.work_identity import body_digest
 from marlstep.frontends.errors import InvalidFieldError
 from marlstep.frontends.resp_wire import read_fields
 from marlstep.units import EPOCH, MILLISECOND, whole_ms
--- a/marlstep/frontends/uwsgi_requests.py
+++ b/marlstep/frontends/uwsgi_requests.py
@@ -6,6 +6,7 @@
 from datetime import datetime, timedelta
 
 from marlstep.core.interfaces import InboundRequest, Response, ResponseStatus
+from marlstep.core.work_identity import digest_of_parts
 from marlstep.frontends.errors import IdempotencyKeyTooLongError
 from marlstep.frontends.uwsgi_mapping import UwsgiMapping
 from marlstep.frontends.uwsgi_wire import Packet, write_response
@@ -13,6 +14,9 @@
 
 MAX_IDEMPOTENCY_KEY_CHARACTERS = 256  # bounded because keys are stored and sent to other processes
 MAX_COST_MS = 3_600_000.0
+# The variables that say, with the body, what a request does. All others may differ between two attempts of its work: a
+# gateway changes the client's port, the retry flag and trace headers.
+WORK_VARIABLES = ("REQUEST_METHOD", "REQUEST_URI", "SCRIPT_NAME", "PATH_INFO", "QUERY_STRING")
 FALSE_VALUES = ("", "0", "no", "false", "off")
 BYTES_PER_KB = 1024
 
@@ -40,6 +44,7 @@
     """
     variables = packet.variables
     request_class = _class_of(variables, mapping, class_names)
+    idempotency_key = _read_idempotency_key(variables, mapping)
     return InboundRequest(
         id=id,
         request_class=request_class,
@@ -50,10 +55,20 @@
         cost_hint=read_cost(_variable(variables, mapping.cost_variable)),
         tenant=_variable(variables, mapping.tenant_variable) or None,
         pool=pool_of(request_class),
-        idempotency_key=_read_idempotency_key(variables, mapping) or None,
+        idempotency_key=idempotency_key or None,
+        digest=work_digest(packet) if idempotency_key else "",
     )
 
 
+def work_digest(packet: Packet) -> str:
+    """Return the digest of what a packet asks for: its `WORK_VARIABLES` and its body.
+
+    The order of the variables does not matter, and a variable that is missing counts as empty.
+    """
+    variables = [packet.variables.get(name, "").encode("latin-1") for name in WORK_VARIABLES]
+    return digest_of_parts((*variables, packet.body))
+
+
 def _class_of(variables: Mapping[str, str], mapping: UwsgiMapping, class_names: Collection[str]) -> str:
     """Return the class that the client names, or the default class if one is configured and the name is unknown."""
     value = variables.get(mapping.class_variable, "")
--- a/marlstep/frontends/uwsgi_wire.py
+++ b/marlstep/frontends/uwsgi_wire.py
@@ -20,6 +20,7 @@
 from marlstep.net.ring import Ring
 
 HEADER_BYTES = 4  # before the block of variables
+SIZE_AT = slice(1, 3)  # of the header: the size of the block of variables
 SIZE_BYTES = 2  # bytes of the size before each name and value
 MAX_CONTENT_LENGTH_DIGITS = 15
 
@@ -31,6 +32,12 @@
     raw: bytes  # the whole packet, to be forwarded unchanged
     variables: Mapping[str, str]
 
+    @property
+    def body(self) -> memoryview:
+        """The body, without a copy."""
+        variables_size = int.from_bytes(self.raw[SIZE_AT], "little")
+        return memoryview(self.raw)[HEADER_BYTES + variables_size :]
+
 
 def read_variables(block: bytes) -> dict[str, str]:
     """Parse the variables of a packet; if a name is repeated, its last value counts.
@@ -97,7 +104,7 @@
     def _read_header(self) -> None:
         if self._raw[0] != 0:
             raise InvalidModifierError(self._raw[0])
-        size = int.from_bytes(self._raw[1:3], "little")
+        size = int.from_bytes(self._raw[SIZE_AT], "little")
         if not size:
             raise NoVariablesError
         self._size += size
--- a/marlstep/hot_restart/host_adapter.py
+++ b/marlstep/hot_restart/host_adapter.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 
 from marlstep.core.engine import Core
-from marlstep.core.idempotency import IdempotencyKey, KeyRecord, decode_label, encode_label
+from marlstep.core.idempotency import KeyRecord
+from marlstep.core.work_identity import IdempotencyKey, WorkLabel
 from marlstep.hot_restart.messages import KeyReleased, KeyStatus
 from marlstep.timer_queue import TimerQueue
 from marlstep.units import instant, instant_us
@@ -45,8 +46,8 @@
 
         def key_changed(key: IdempotencyKey, record: KeyRecord, released: bool) -> None:
             if released:
-                label = encode_label(record.request_id, record.digest)
-                hot_restart.key_changed(KeyReleased(*key, label))
+                label = WorkLabel(record.request_id, record.digest).encode()
+                hot_restart.key_changed(KeyReleased(key.request_class, key.name, label))
             else:
                 hot_restart.key_changed(key_status(key, record))
 
@@ -91,17 +92,17 @@
         """Record the status of a key at another process."""
         result = None if status.result is None else status.result.encode("latin-1")
         expires_at = instant(status.expires_at_us) if status.expires_at_us else None
-        request_id, digest = decode_label(status.request_label)
+        label = WorkLabel.decode(status.request_label)
         self._core.adopt_remote_key(
             IdempotencyKey(status.request_class, status.idempotency_key),
-            KeyRecord(request_id, expires_at, result, status.finished, digest=digest),
+            KeyRecord(label.request_id, expires_at, result, status.finished, digest=label.digest),
         )
 
     def release_key(self, released: KeyReleased, /) -> None:
         """Remove the key of another process's attempt, which never ran."""
-        request_id, _digest = decode_label(released.request_label)
+        label = WorkLabel.decode(released.request_label)
         key = IdempotencyKey(released.request_class, released.idempotency_key)
-        self._core.drop_remote_key(key, request_id)
+        self._core.drop_remote_key(key, label.request_id)
 
 
 def key_status(key: IdempotencyKey, record: KeyRecord) -> KeyStatus:
@@ -112,5 +113,5 @@
     expires_at_us = instant_us(record.expires_at) if record.expires_at else 0
     fits = record.result is not None and len(record.result) <= MAX_RESULT_BYTES
     result = record.result.decode("latin-1") if record.result is not None and fits else None
-    label = encode_label(record.request_id, record.digest)
-    return KeyStatus(*key, label, expires_at_us, result, record.finished)
+    label = WorkLabel(record.request_id, record.digest).encode()
+    return KeyStatus(key.request_class, key.name, label, expires_at_us, result, record.finished)
--- a/marlstep/hot_restart/messages.py
+++ b/marlstep/hot_restart/messages.py
@@ -44,7 +44,7 @@
 class KeyStatus:
     """An idempotency key and the status of its attempt.
 
-    Here and in the messages below, `request_label` is the request's id and the digest of its body; see `encode_label`.
+    Here and in the messages below, `request_label` is the request's id with the digest of its work; see `WorkLabel`.
     """
 
     wire_tag: ClassVar[str] = "Name"
--- a/tests/core/test_idempotency.py
+++ b/tests/core/test_idempotency.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from marlstep.core.idempotency import IdempotencyKey, KeyRecord, KeyTable
+from marlstep.core.idempotency import KeyRecord, KeyTable
+from marlstep.core.work_identity import IdempotencyKey
 from marlstep.units import MILLISECOND, SECOND, ZERO
 from tests.support.node import START
 
--- a/tests/core/test_repeat_responses.py
+++ b/tests/core/test_repeat_responses.py
@@ -16,8 +16,9 @@
 from marlstep.admission.actions import Action, Reject
 from marlstep.admission.events import Event, Outcome
 from marlstep.core.counters import NO_CONFIG_COUNT
-from marlstep.core.idempotency import IdempotencyKey, KeyRecord
+from marlstep.core.idempotency import KeyRecord
 from marlstep.core.interfaces import Response, ResponseHandle, ResponseStatus, Stage
+from marlstep.core.work_identity import IdempotencyKey
 from marlstep.units import SECOND
 from tests.core.test_repeats import KEYED
 from tests.support.node import CoreDriver
--- a/tests/races/test_idempotency_keys.py
+++ b/tests/races/test_idempotency_keys.py
@@ -5,14 +5,8 @@
 import pytest
 
 from marlstep.admission.events import Outcome
-from marlstep.core.idempotency import (
-    IdempotencyKey,
-    KeyRecord,
-    KeyTable,
-    body_digest,
-    decode_label,
-    encode_label,
-)
+from marlstep.core.idempotency import KeyRecord, KeyTable
+from marlstep.core.work_identity import IdempotencyKey, WorkLabel, body_digest
 from marlstep.frontends.resp import RespConnection
 from marlstep.frontends.resp_wire import write_frame
 from marlstep.units import EPOCH, MILLISECOND, SECOND, ZERO
@@ -118,14 +112,19 @@
 
 
 def test_a_label_carries_the_digest_and_is_an_id_to_processes_without_digests() -> None:
-    label = encode_label("9b1f03aa5c7e2d41", body_digest(b"body"))
-    assert decode_label(label) == ("9b1f03aa5c7e2d41", body_digest(b"body"))
-    assert decode_label("uwsgi~7") == ("uwsgi~7", "") and encode_label("r1", "") == "r1"
-    assert (
-        KeyRecord("r1", digest="a").matches_body("")
-        and KeyRecord("r1").matches_body("a")
-        and not KeyRecord("r1", digest="a").matches_body("b")
-    )
+    label = WorkLabel("9b1f03aa5c7e2d41", body_digest(b"body"))
+    assert label.encode() == "9b1f03aa5c7e2d41~" + body_digest(b"body")
+    assert WorkLabel.decode(label.encode()) == label
+    assert WorkLabel.decode("uwsgi~7") == WorkLabel("uwsgi~7") and WorkLabel("r1").encode() == "r1"
+
+
+def test_work_of_another_or_an_unknown_digest_is_not_the_same() -> None:
+    # An unknown digest used to match every other: beside a process that reports none, a request got the result of
+    # another client's work under its name.
+    assert not KeyRecord("r1", digest="a").is_same_work("")
+    assert not KeyRecord("r1").is_same_work("a")
+    assert not KeyRecord("r1", digest="a").is_same_work("b")
+    assert KeyRecord("r1", digest="a").is_same_work("a") and KeyRecord("r1").is_same_work("")
 
 
 # Requests that are cancelled by their client.
--- a/tests/support/restart_pair.py
+++ b/tests/support/restart_pair.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import Any
 
 from marlstep.hot_restart import messages
 from marlstep.hot_restart.host_adapter import HostAdapter
@@ -169,11 +170,13 @@
             self.successor.hot_restart.predecessor_lost(self.clock.now())
         self.clock.settle()
 
-    def submit(self, process: SimulatedProcess, request_class: str, idempotency_key: str | None) -> int:
+    def submit(
+        self, process: SimulatedProcess, request_class: str, idempotency_key: str | None, **other: Any
+    ) -> int:
         self.last_number += 1
         if idempotency_key:
             process.keyed_requests[f"r{self.last_number}"] = (request_class, idempotency_key)
-        process.driver.submit(self.last_number, request_class, idempotency_key=idempotency_key)
+        process.driver.submit(self.last_number, request_class, idempotency_key=idempotency_key, **other)
         return self.last_number
 
     def run_counts(self) -> Counter[tuple[str, str]]:
