Give each tenant its own idempotency keys over uwsgi

Callers saw: of two tenants whose gateways use the same ids, the second got the first one's result, and its own request never ran. Cause: key_of makes a key of class and id alone. That is right on the platform's wire (128 random bits, the same for all attempts, whoever sends them), and wrong where gateways choose ids. Change: a key has a scope, over uwsgi a digest of the tenant, carried in the labels of messages between two processes. An older version takes such a label for an id; a name that it claims or reports counts for every tenant.

--- a/marlstep/core/idempotency.py
+++ b/marlstep/core/idempotency.py
@@ -54,6 +54,11 @@
         """
         return self.digest == digest
 
+    @property
+    def is_of_version_without_digests(self) -> bool:
+        """Whether a sibling process reported the work without a digest, and thus without the scope of its key."""
+        return self.is_remote and not self.digest
+
     def covers(self, arrived_at: datetime) -> bool:
         """Return whether a request that arrived at `arrived_at` is a repeat of this work.
 
@@ -112,7 +117,28 @@
             arrived_at: when the request arrived.
         """
         record = self._records.get(key)
-        return record if record is not None and record.covers(arrived_at) else None
+        if record is not None and record.covers(arrived_at):
+            return record
+        return self._find_without_scope(key, arrived_at) if key.scope else None
+
+    def _find_without_scope(self, key: IdempotencyKey, arrived_at: datetime) -> KeyRecord | None:
+        """Return the record of a sibling's work with this name, if that process does not report scopes."""
+        record = self._records.get(key._replace(scope=""))
+        if record is None or not record.is_of_version_without_digests:
+            return None
+        return record if record.covers(arrived_at) else None
+
+    def find_in_any_scope(
+        self, request_class: str, name: str, arrived_at: datetime
+    ) -> tuple[IdempotencyKey, KeyRecord] | None:
+        """Return a piece of work with this name, whatever its scope, or None.
+
+        For claims of sibling processes that do not report scopes. It looks at every entry.
+        """
+        for key, record in self._records.items():
+            if (key.name, key.request_class) == (name, request_class) and record.covers(arrived_at):
+                return key, record
+        return None
 
     def record(self, key: IdempotencyKey, request_id: str, arrived_at: datetime, digest: str = "") -> None:
         """Record the key of a request that is now in flight, unless the request repeats known work.
--- a/marlstep/core/intake_checks.py
+++ b/marlstep/core/intake_checks.py
@@ -47,7 +47,7 @@
     """Return the idempotency key of the work; None if the client gave none, or for idempotent work, which may rerun."""
     if not inbound.idempotency_key or class_settings.effect is Effect.IDEMPOTENT:
         return None
-    return IdempotencyKey(inbound.request_class, inbound.idempotency_key)
+    return IdempotencyKey(inbound.request_class, inbound.idempotency_key, inbound.key_scope)
 
 
 def check_repeat(inbound: InboundRequest, class_settings: ClassSettings, prior: KeyRecord | None) -> None:
--- a/marlstep/core/interfaces.py
+++ b/marlstep/core/interfaces.py
@@ -40,6 +40,7 @@
         entity: the subject of the request, for classes whose responses may be shared by subject; None without one.
         pool: the name of the upstream pool that runs it; empty if it runs on this node's own cores.
         idempotency_key: the name of the work of which this request is one attempt; None if the client gave none.
+        key_scope: the scope of that name; see `IdempotencyKey`.
         digest: the digest of what the request does, by which it is compared with other requests under its key. Empty if
             no other work can have the same name.
     """
@@ -57,6 +58,7 @@
     entity: int | None = None
     pool: str = ""
     idempotency_key: str | None = None
+    key_scope: str = ""
     digest: str = ""
 
 
--- a/marlstep/core/sibling_claims.py
+++ b/marlstep/core/sibling_claims.py
@@ -77,7 +77,7 @@
             # The claim may be decided before `claim` returns, but the frontend must get the handle before a response.
             self._timeline.soon(lambda: self._on_claim_decided(request, key, result))
 
-        label = WorkLabel(request.id, request.inbound.digest).encode()
+        label = WorkLabel(request.id, request.inbound.digest, key.scope).encode()
         return siblings.claim(key.request_class, key.name, label, now, on_decided)
 
     def _on_claim_decided(self, request: Request, key: IdempotencyKey, result: ClaimResult) -> None:
--- a/marlstep/core/work_identity.py
+++ b/marlstep/core/work_identity.py
@@ -12,8 +12,9 @@
 from typing import NamedTuple
 
 DIGEST_BYTES = 16
+SCOPE_BYTES = 8
 PART_LENGTH_BYTES = 8  # of the length before each part of a digest
-LABEL_SEPARATOR = "~"
+LABEL_SEPARATOR = "~"  # before the digest, and before the scope
 
 
 class IdempotencyKey(NamedTuple):
@@ -22,10 +23,19 @@
     Attributes:
         request_class: the name of the request class.
         name: the name of the work, chosen by the client.
+        scope: the set of clients that share the name, see `scope_of_tenant`; empty if it is unique on the node.
     """
 
     request_class: str
     name: str
+    scope: str = ""
+
+
+def scope_of_tenant(tenant: str) -> str:
+    """Return the scope of names that are unique only among the clients of a tenant; empty for the empty tenant."""
+    if not tenant:
+        return ""
+    return hashlib.blake2b(tenant.encode(), digest_size=SCOPE_BYTES).hexdigest()
 
 
 def body_digest(body: bytes) -> str:
@@ -49,24 +59,38 @@
 class WorkLabel:
     """What sibling processes are told of a request besides the class and the name of its work.
 
-    The label stands in the id field of their messages, so that versions that know no digests still match it
-    as an id.
+    The label stands in the id field of their messages, so that versions that know no scopes or no digests still match
+    it as an id.
 
     Attributes:
         request_id: the id of the request.
         digest: the digest of its work; empty if unknown, as with requests of older versions over uwsgi.
+        scope: the scope of its key; only together with a digest.
     """
 
     request_id: str
     digest: str = ""
+    scope: str = ""
 
     def encode(self) -> str:
-        """Return the text of the label: the id, and the digest unless that is empty."""
-        return f"{self.request_id}{LABEL_SEPARATOR}{self.digest}" if self.digest else self.request_id
+        """Return the text of the label: the id, the digest and the scope, without those that are empty."""
+        if not self.digest:
+            return self.request_id
+        parts = (self.request_id, self.digest, self.scope) if self.scope else (self.request_id, self.digest)
+        return LABEL_SEPARATOR.join(parts)
 
     @classmethod
     def decode(cls, text: str) -> WorkLabel:
-        """Return the label of a text. The length of the digest tells it from a part of an id."""
-        request_id, separator, digest = text.rpartition(LABEL_SEPARATOR)
-        has_digest = separator and len(digest) == 2 * DIGEST_BYTES
-        return cls(request_id, digest) if has_digest else cls(text)
+        """Return the label of a text. The lengths of digest and scope tell them from parts of an id."""
+        rest, last = _split_suffix(text, 2 * SCOPE_BYTES)
+        request_id, digest = _split_suffix(rest, 2 * DIGEST_BYTES)
+        if last and digest:
+            return cls(request_id, digest, scope=last)
+        request_id, digest = _split_suffix(text, 2 * DIGEST_BYTES)
+        return cls(request_id, digest)
+
+
+def _split_suffix(text: str, length: int) -> tuple[str, str]:
+    """Split off a suffix of this length behind a separator. Returns the whole text and "" if there is none."""
+    rest, separator, suffix = text.rpartition(LABEL_SEPARATOR)
+    return (rest, suffix) if separator and len(suffix) == length else (text, "")
--- a/marlstep/frontends/uwsgi_requests.py
+++ b/marlstep/frontends/uwsgi_requests.py
@@ -6,7 +6,7 @@
 from datetime import datetime, timedelta
 
 from marlstep.core.interfaces import InboundRequest, Response, ResponseStatus
-from marlstep.core.work_identity import digest_of_parts
+from marlstep.core.work_identity import digest_of_parts, scope_of_tenant
 from marlstep.frontends.errors import IdempotencyKeyTooLongError
 from marlstep.frontends.uwsgi_mapping import UwsgiMapping
 from marlstep.frontends.uwsgi_wire import Packet, write_response
@@ -44,6 +44,7 @@
     """
     variables = packet.variables
     request_class = _class_of(variables, mapping, class_names)
+    tenant = _variable(variables, mapping.tenant_variable)
     idempotency_key = _read_idempotency_key(variables, mapping)
     return InboundRequest(
         id=id,
@@ -53,9 +54,10 @@
         memory_kb=max(mapping.memory_kb, len(packet.raw) / BYTES_PER_KB),
         is_retry=_read_flag(_variable(variables, mapping.retry_variable)),
         cost_hint=read_cost(_variable(variables, mapping.cost_variable)),
-        tenant=_variable(variables, mapping.tenant_variable) or None,
+        tenant=tenant or None,
         pool=pool_of(request_class),
         idempotency_key=idempotency_key or None,
+        key_scope=scope_of_tenant(tenant) if idempotency_key else "",
         digest=work_digest(packet) if idempotency_key else "",
     )
 
--- a/marlstep/hot_restart/host_adapter.py
+++ b/marlstep/hot_restart/host_adapter.py
@@ -46,7 +46,7 @@
 
         def key_changed(key: IdempotencyKey, record: KeyRecord, released: bool) -> None:
             if released:
-                label = WorkLabel(record.request_id, record.digest).encode()
+                label = WorkLabel(record.request_id, record.digest, key.scope).encode()
                 hot_restart.key_changed(KeyReleased(key.request_class, key.name, label))
             else:
                 hot_restart.key_changed(key_status(key, record))
@@ -82,11 +82,19 @@
         """Iterate over all idempotency keys known at the time of the call."""
         return (key_status(key, record) for key, record in self._core.idempotency_keys)
 
-    def find_key(self, request_class: str, idempotency_key: str, /) -> KeyStatus | None:
-        """Return the status of a known key; None if a request with the key may run."""
-        key = IdempotencyKey(request_class, idempotency_key)
-        record = self._core.idempotency_keys.find(key, self._timeline.now())
-        return None if record is None else key_status(key, record)
+    def find_key(self, request_class: str, name: str, request_label: str, /) -> KeyStatus | None:
+        """Return the status of a known key; None if a request with the key and the label may run.
+
+        A label without a digest comes from a process that reports no scopes: the request may belong to any of them.
+        """
+        keys, now = self._core.idempotency_keys, self._timeline.now()
+        label = WorkLabel.decode(request_label)
+        key = IdempotencyKey(request_class, name, label.scope)
+        record = keys.find(key, now)
+        if record is not None:
+            return key_status(key, record)
+        known = None if label.digest else keys.find_in_any_scope(request_class, name, now)
+        return None if known is None else key_status(*known)
 
     def adopt_key(self, status: KeyStatus, /) -> None:
         """Record the status of a key at another process."""
@@ -94,14 +102,14 @@
         expires_at = instant(status.expires_at_us) if status.expires_at_us else None
         label = WorkLabel.decode(status.request_label)
         self._core.adopt_remote_key(
-            IdempotencyKey(status.request_class, status.idempotency_key),
+            IdempotencyKey(status.request_class, status.idempotency_key, label.scope),
             KeyRecord(label.request_id, expires_at, result, status.finished, digest=label.digest),
         )
 
     def release_key(self, released: KeyReleased, /) -> None:
         """Remove the key of another process's attempt, which never ran."""
         label = WorkLabel.decode(released.request_label)
-        key = IdempotencyKey(released.request_class, released.idempotency_key)
+        key = IdempotencyKey(released.request_class, released.idempotency_key, label.scope)
         self._core.drop_remote_key(key, label.request_id)
 
 
@@ -113,5 +121,5 @@
     expires_at_us = instant_us(record.expires_at) if record.expires_at else 0
     fits = record.result is not None and len(record.result) <= MAX_RESULT_BYTES
     result = record.result.decode("latin-1") if record.result is not None and fits else None
-    label = WorkLabel(record.request_id, record.digest).encode()
+    label = WorkLabel(record.request_id, record.digest, key.scope).encode()
     return KeyStatus(key.request_class, key.name, label, expires_at_us, result, record.finished)
--- a/marlstep/hot_restart/interfaces.py
+++ b/marlstep/hot_restart/interfaces.py
@@ -61,8 +61,8 @@
     def key_statuses(self) -> Iterator[KeyStatus]:
         """Iterate over all idempotency keys known at the time of the call."""
 
-    def find_key(self, request_class: str, idempotency_key: str, /) -> KeyStatus | None:
-        """Return the status of a known key; None if a request with the key may run."""
+    def find_key(self, request_class: str, name: str, request_label: str, /) -> KeyStatus | None:
+        """Return the status of a known key; None if a request with the key and the label may run."""
 
     def adopt_key(self, status: KeyStatus, /) -> None:
         """Record the status of a key at another process."""
--- a/marlstep/hot_restart/restart.py
+++ b/marlstep/hot_restart/restart.py
@@ -139,15 +139,17 @@
 
     def _handle_claim(self, claim: ClaimRequest, now: datetime) -> None:
         respond = partial(self._respond_to_claim, claim)
-        already_known = self._host.find_key(claim.request_class, claim.idempotency_key) is not None
-        if already_known or not self.claim(
+        if self._known_status(claim) is not None or not self.claim(
             claim.request_class, claim.idempotency_key, claim.request_label, now, respond
         ):
             # No predecessor has to be asked, so none rejects the claim. `_respond_to_claim` still rejects a known key.
             respond(ClaimResult.GRANTED)
 
+    def _known_status(self, claim: ClaimRequest) -> KeyStatus | None:
+        return self._host.find_key(claim.request_class, claim.idempotency_key, claim.request_label)
+
     def _respond_to_claim(self, claim: ClaimRequest, predecessor_result: ClaimResult) -> None:
-        known_status = self._host.find_key(claim.request_class, claim.idempotency_key)
+        known_status = self._known_status(claim)
         granted = is_claim_granted(known_status, predecessor_result)
         if known_status is not None:
             self._toward_successor.send(known_status)  # the successor may not have received it yet
--- a/tests/frontends/test_uwsgi_repeats.py
+++ b/tests/frontends/test_uwsgi_repeats.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
+from marlstep.frontends.uwsgi_wire import write_packet
 from tests.core.test_repeats import KEYED
 from tests.frontends.support import RESPONSE, UwsgiHarness
 from tests.support.node import FakeTransport
@@ -77,6 +80,28 @@
     assert retry.take() == RESPONSE and start_count(harness) == 1
 
 
+TENANTS = ("galerie", "musee", "")
+
+
+@pytest.mark.parametrize("ended", [False, True])
+@pytest.mark.parametrize(("request_class", "settings"), [("keyed", KEYED), ("setpoint-cmd", {})])
+def test_the_same_id_of_another_tenant_is_other_work(
+    request_class: str, settings: dict[str, Any], ended: bool
+) -> None:
+    # Guards against tenants whose gateways count their ids from 1 and so get each other's results, or none.
+    harness = UwsgiHarness(cores=4, **settings)
+    connections = []
+    for number, tenant in enumerate(TENANTS, 1):
+        connections.append(send(harness, DEPOSIT | {"X_CLASS": request_class, "X_TENANT": tenant}, BODY))
+        if ended:
+            harness.end_run(number=number, result=tenant.encode())
+    if not ended:
+        for number, tenant in enumerate(TENANTS, 1):
+            harness.end_run(number=number, result=tenant.encode())
+    assert [each.take() for each in connections] == [tenant.encode() for tenant in TENANTS]
+    assert start_count(harness) == len(TENANTS)
+
+
 def test_other_work_of_an_at_most_once_class_under_a_known_id_does_not_run() -> None:
     # Guards against a second run of at-most-once work whose repeat was changed on its way.
     harness = UwsgiHarness()
@@ -84,3 +109,11 @@
     send(harness, deposit, BODY)
     assert status_line(send(harness, deposit, b"noise")) == b"HTTP/1.1 502 Bad Gateway"
     assert start_count(harness) == 1
+
+
+def test_a_request_without_an_id_has_neither_scope_nor_digest() -> None:
+    harness = UwsgiHarness()
+    connection = harness.connect()
+    connection.feed(write_packet({"X_CLASS": "temp-history", "X_TENANT": "galerie"}))
+    [request] = harness.node.core._requests
+    assert (request.inbound.key_scope, request.inbound.digest) == ("", "")
