Decide the window of a key where it is looked up

Callers saw: keyed requests ran twice inside the window of the settings in force, after their class had gone and come back with a longer window, or beside a process with other settings. Cause: longer_windows compared new settings with the last ones alone; a class that was away there gained nothing. Change: an entry knows when its window starts; the longest window of its class in force since covers a repeat. Entries stay for the longest window stated for their class. Work that another process reports counts from its first report. Tests of longer_windows and KeyTable.extend are replaced by tests of the same cases at the look-up, and more.

--- a/marlstep/core/engine.py
+++ b/marlstep/core/engine.py
@@ -42,6 +42,7 @@
 from marlstep.core.event_queue import EventQueue
 from marlstep.core.gauge_timers import GaugeTimers
 from marlstep.core.idempotency import KeyRecord, KeyTable
+from marlstep.core.idempotency_windows import IdempotencyWindows
 from marlstep.core.intake import RequestIntake
 from marlstep.core.interfaces import (
     Backend,
@@ -112,7 +113,7 @@
         self._requests = RequestRegistry(max_requests)
         self._frontends: list[Frontend] = []
         self.serving_state = ServingState()
-        self.idempotency_keys = KeyTable()
+        self.idempotency_keys = KeyTable(IdempotencyWindows(settings.classes))
         self.on_backend_ready: Callable[[], None] = self.serving_state.mark_ready
         self._compose(ports)
 
@@ -235,8 +236,7 @@
         now = self._timeline.now()
         change = self._served.change(settings, now)
         self._counters.set_tenants(self._served.tenants)
-        for extension in change.window_extensions:
-            self.idempotency_keys.extend(extension.request_class, extension.added, now, extension.deadline)
+        self.idempotency_keys.apply_windows(settings.classes, now)
         if change.load_signal_changed:
             self._signals.advertised_value = None  # callers would read it as a value of the new load signal
         self._events.post(SettingsChanged(change.effective, change.retired))
--- a/marlstep/core/idempotency.py
+++ b/marlstep/core/idempotency.py
@@ -2,10 +2,12 @@
 
 Entries are dropped when the work never ran, when a request whose key is not retained ends, or some time after their
 window has ended (`KeyRecord.droppable_at`).
-Three rules hold for every entry:
+Four rules hold for every entry:
 
 - A key is looked up as of the time at which a request arrived, not the time at which it is read. An entry is therefore
   kept beyond its window for as long as a request may wait unread and still be run.
+- The window of an entry is decided where the entry is looked up: from when the work ran, by the longest window of its
+  class that has been in force since (`IdempotencyWindows`). No change of settings can shorten what was promised.
 - A key names one piece of work. Frontends pass a digest of what the request does, and a request with a different digest
   is not an attempt of that work: it is neither run under the key nor given the work's result.
 - While two processes form one node, an entry may stand for a request of the sibling process (`is_remote`). The entry
@@ -15,10 +17,12 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
+from marlstep.admission.settings import ClassSettings
+from marlstep.core.idempotency_windows import IdempotencyWindows
 from marlstep.core.work_identity import IdempotencyKey
 from marlstep.units import ZERO
 
@@ -29,14 +33,15 @@
 
     Attributes:
         request_id: the id of the original request of the work.
-        expires_at: the end of the idempotency window; a request that arrives then or later is new work. None until
-            the key is retained for a window.
+        expires_at: the end of the idempotency window by the settings in force when the work began; None until the key
+            is retained for a window. A request that arrives then or later is new work unless a longer window covers it.
         result: the result that repeats share; None if there is none.
         finished: whether the original request has ended.
         is_remote: whether the original request belongs to a sibling process.
         digest: the digest of the work; empty if unknown.
         droppable_at: when the entry may be dropped: later than `expires_at`, as requests that arrived before the end
             of the window may still be unread.
+        window_starts_at: the start of the window, from which a longer one counts too; None if only `expires_at` counts.
     """
 
     request_id: str
@@ -46,6 +51,7 @@
     is_remote: bool = False
     digest: str = ""
     droppable_at: datetime | None = None
+    window_starts_at: datetime | None = None
 
     def is_same_work(self, digest: str) -> bool:
         """Return whether a request with this digest is an attempt of the same work.
@@ -59,13 +65,32 @@
         """Whether a sibling process reported the work without a digest, and thus without the scope of its key."""
         return self.is_remote and not self.digest
 
-    def covers(self, arrived_at: datetime) -> bool:
+    def covers(self, arrived_at: datetime, window: timedelta = ZERO) -> bool:
         """Return whether a request that arrived at `arrived_at` is a repeat of this work.
 
         It is if it arrived before the end of the window, however late it is read. An entry without an expiry covers
         every arrival time.
+
+        Args:
+            arrived_at: when the request arrived.
+            window: the longest window that has been in force since the work began.
         """
-        return self.expires_at is None or arrived_at < self.expires_at
+        if self.expires_at is None or arrived_at < self.expires_at:
+            return True
+        return self.window_starts_at is not None and arrived_at < self.window_starts_at + window
+
+    @property
+    def max_unread_time(self) -> timedelta:
+        """How long a request that arrived before the end of the window may lie unread; zero without an expiry."""
+        if self.droppable_at is None or self.expires_at is None:
+            return ZERO
+        return self.droppable_at - self.expires_at
+
+    def droppable_after(self, longest_window: timedelta) -> datetime | None:
+        """Return when the entry may be dropped if this window may come into force; None for one without an expiry."""
+        if self.expires_at is None or self.window_starts_at is None:
+            return self.droppable_at
+        return max(self.expires_at, self.window_starts_at + longest_window) + self.max_unread_time
 
     def set_expiry(self, expires_at: datetime, max_unread_time: timedelta) -> datetime:
         """Set the end of the window, and return when the entry may be dropped.
@@ -82,6 +107,18 @@
 KeyChangeCallback = Callable[[IdempotencyKey, KeyRecord, bool], None]
 
 
+def _remote_window_start(known: KeyRecord | None, remote: KeyRecord, now: datetime) -> datetime:
+    """Return from when windows count for work that a sibling process reports.
+
+    The report does not say when the work began, only until when the sibling's settings cover it, and the settings of
+    this process may state a longer window. The time of the first report is never before the work's arrival.
+    """
+    is_known = known is not None and known.is_remote and known.request_id == remote.request_id
+    if is_known and known is not None and known.window_starts_at is not None:
+        return known.window_starts_at
+    return now
+
+
 def _ignore_change(_key: IdempotencyKey, _record: KeyRecord, _dropped: bool) -> None:
     """Ignore the change: the default callback while no sibling process shares the node."""
 
@@ -95,8 +132,9 @@
         on_changed: called after each change of an entry that stands for a request of this process.
     """
 
-    def __init__(self) -> None:
-        """Initialize an empty table whose changes are not observed."""
+    def __init__(self, windows: IdempotencyWindows | None = None) -> None:
+        """Initialize an empty table whose changes are not observed. `windows` are those of the settings."""
+        self._windows = windows or IdempotencyWindows()
         self._records: dict[IdempotencyKey, KeyRecord] = {}
         self._expiries: list[tuple[datetime, IdempotencyKey]] = []  # heap of (time to drop the entry, key)
         self.on_changed: KeyChangeCallback = _ignore_change
@@ -117,7 +155,7 @@
             arrived_at: when the request arrived.
         """
         record = self._records.get(key)
-        if record is not None and record.covers(arrived_at):
+        if record is not None and self._covers(key, record, arrived_at):
             return record
         return self._find_without_scope(key, arrived_at) if key.scope else None
 
@@ -126,7 +164,19 @@
         record = self._records.get(key._replace(scope=""))
         if record is None or not record.is_of_version_without_digests:
             return None
-        return record if record.covers(arrived_at) else None
+        return record if self._covers(key, record, arrived_at) else None
+
+    def _covers(self, key: IdempotencyKey, record: KeyRecord, arrived_at: datetime) -> bool:
+        if record.window_starts_at is None:
+            return record.covers(arrived_at)
+        return record.covers(arrived_at, self._longest_window(key, record, record.window_starts_at))
+
+    def _longest_window(
+        self, key: IdempotencyKey, record: KeyRecord, window_starts_at: datetime
+    ) -> timedelta:
+        """Return the longest window that has been in force since the work arrived, at the earliest possible time."""
+        arrived_at = window_starts_at - record.max_unread_time
+        return self._windows.longest_since(key.request_class, arrived_at)
 
     def find_in_any_scope(
         self, request_class: str, name: str, arrived_at: datetime
@@ -136,7 +186,8 @@
         For claims of sibling processes that do not report scopes. It looks at every entry.
         """
         for key, record in self._records.items():
-            if (key.name, key.request_class) == (name, request_class) and record.covers(arrived_at):
+            same_name = key.name == name and key.request_class == request_class
+            if same_name and self._covers(key, record, arrived_at):
                 return key, record
         return None
 
@@ -158,6 +209,7 @@
         now: datetime,
         max_unread_time: timedelta,
         digest: str = "",
+        window_starts_at: datetime | None = None,
     ) -> None:
         """Keep the key of a request of this process until the end of a window, even after the request has ended.
 
@@ -168,31 +220,31 @@
             now: the current time; entries whose time to drop has come are removed.
             max_unread_time: how long a request that arrived before the end may wait unread and still be run.
             digest: the digest of the work; empty if unknown.
+            window_starts_at: from when a longer window counts too; None if none may.
         """
         record = self._records.setdefault(key, KeyRecord(request_id))
+        record.window_starts_at = window_starts_at
         record.request_id, record.is_remote, record.finished, record.digest = request_id, False, False, digest
         self._set_expiry(key, record, expires_at, now, max_unread_time)
         self.on_changed(key, record, False)
 
-    def extend(
-        self, request_class: str, added_window: timedelta, now: datetime, max_unread_time: timedelta
-    ) -> None:
-        """Extend the windows of a class, including those of work that ran under the previous settings.
-
-        Clients that read the new settings rely on the longer window for all their requests. Entries without an expiry
-        are left unchanged: their window begins later, under the new settings.
+    def apply_windows(self, classes: Iterable[ClassSettings], now: datetime) -> None:
+        """Put the windows of new settings in force.
 
-        Args:
-            request_class: the name of the class.
-            added_window: how much longer the window has become.
-            now: the current time; entries whose time to drop has come are removed.
-            max_unread_time: how long a request that arrived before the end may wait unread and still be run.
+        Sibling processes may have other settings, so they are told of each entry of this process that a longer window
+        covers now.
         """
+        self._windows.change(classes, now)
+        if self.on_changed is _ignore_change:
+            return
         for key, record in self:
-            if key.request_class == request_class and record.expires_at is not None:
-                self._set_expiry(key, record, record.expires_at + added_window, now, max_unread_time)
-                if not record.is_remote:
-                    self.on_changed(key, record, False)
+            if record.is_remote or record.window_starts_at is None or record.expires_at is None:
+                continue
+            start = record.window_starts_at
+            covered_until = start + self._longest_window(key, record, start)
+            if covered_until > record.expires_at:
+                self._set_expiry(key, record, covered_until, now, record.max_unread_time)
+                self.on_changed(key, record, False)
 
     def finish(self, key: IdempotencyKey, request_id: str, result: bytes | None) -> None:
         """Record that a request of this process has ended.
@@ -239,10 +291,11 @@
             max_unread_time: how long a request that arrived before the expiry may wait unread and still be run.
         """
         record = self._records.get(key)
-        is_local_in_force = record is not None and not record.is_remote and record.covers(now)
+        is_local_in_force = record is not None and not record.is_remote and self._covers(key, record, now)
         if is_local_in_force:
             return
         remote.is_remote = True
+        remote.window_starts_at = _remote_window_start(record, remote, now)
         self._records[key] = remote
         if remote.expires_at is not None:
             self._set_expiry(key, remote, remote.expires_at, now, max_unread_time)
@@ -274,6 +327,7 @@
             record = self._records[key]
             record.finished = True
             if record.expires_at is None:
+                record.window_starts_at = now
                 self._set_expiry(key, record, expires_at, now, ZERO)
         return unfinished
 
@@ -289,11 +343,15 @@
         heapq.heappush(self._expiries, (record.set_expiry(expires_at, max_unread_time), key))
         while self._expiries and self._expiries[0][0] <= now:
             droppable_at, due_key = heapq.heappop(self._expiries)
-            due_record = self._records.get(due_key)
-            # If the expiry was extended, a later heap item drops the entry.
-            if (
-                due_record is not None
-                and due_record.droppable_at is not None
-                and due_record.droppable_at <= droppable_at
-            ):
-                del self._records[due_key]
+            self._drop_if_due(due_key, droppable_at, now)
+
+    def _drop_if_due(self, key: IdempotencyKey, droppable_at: datetime, now: datetime) -> None:
+        """Drop the entry of a heap item, unless its expiry was extended or a longer window may still cover it."""
+        record = self._records.get(key)
+        if record is None or record.droppable_at is None or record.droppable_at > droppable_at:
+            return
+        kept_until = record.droppable_after(self._windows.longest(key.request_class))
+        if kept_until is not None and kept_until > now:
+            heapq.heappush(self._expiries, (kept_until, key))
+        else:
+            del self._records[key]
--- a/marlstep/core/repeats.py
+++ b/marlstep/core/repeats.py
@@ -35,22 +35,24 @@
         self._responses, self._served = responses, served
         self._waiting_for_remote: dict[IdempotencyKey, list[str]] = {}  # ids of waiting repeats, by key
 
-    def retain_key(self, request: Request, window: timedelta) -> None:
-        """Keep the request's key for a window that starts now.
+    def retain_key(self, request: Request, lifetime: timedelta) -> None:
+        """Keep the request's key for a time that starts now and ends with its idempotency window.
 
         The entry outlives the window by the deadline of the class, as a repeat that waits unread for longer than that
         never runs.
         """
         if request.idempotency_key:
             now = self._timeline.now()
+            expires_at = now + lifetime
             max_unread_time = span(request.class_settings.deadline_us)
             self._keys.retain(
                 request.idempotency_key,
                 request.id,
-                now + window,
+                expires_at,
                 now,
                 max_unread_time,
                 request.inbound.digest,
+                expires_at - span(request.class_settings.idempotency_window_us),
             )
 
     def drop_key(self, request: Request) -> None:
--- a/marlstep/core/served_settings.py
+++ b/marlstep/core/served_settings.py
@@ -3,51 +3,23 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from datetime import datetime, timedelta
+from datetime import datetime
 
 from marlstep.admission.settings import ClassSettings, Settings, TenantSettings
-from marlstep.units import EPOCH, SECOND, span
+from marlstep.units import EPOCH, SECOND
 
 RETIRED_CLASS_GRACE = 3 * SECOND  # how long a removed class or tenant is still accepted
 
 
-@dataclass(slots=True, frozen=True)
-class WindowExtension:
-    """A class whose idempotency window has become longer."""
-
-    request_class: str
-    added: timedelta  # how much longer the window has become
-    deadline: timedelta  # deadline of the class: how long a request may wait unread and still be run
-
-
 @dataclass(slots=True, frozen=True)
 class SettingsChange:
     """The consequences of a change of settings for the rest of the core."""
 
     effective: Settings  # the new settings, with the quotas in force
     retired: tuple[ClassSettings, ...]  # removed classes that are still accepted
-    window_extensions: tuple[WindowExtension, ...]
     load_signal_changed: bool
 
 
-def longer_windows(old: Settings, new: Settings) -> tuple[WindowExtension, ...]:
-    """Return the classes whose idempotency window is longer in the new settings than in the old ones.
-
-    A shorter window does not affect existing entries, as clients were promised the longer one.
-    """
-    old_classes = {settings.name: settings for settings in old.classes}
-    return tuple(
-        WindowExtension(
-            settings.name,
-            span(settings.idempotency_window_us - old_class.idempotency_window_us),
-            span(settings.deadline_us),
-        )
-        for settings in new.classes
-        if (old_class := old_classes.get(settings.name)) is not None
-        and settings.idempotency_window_us > old_class.idempotency_window_us
-    )
-
-
 def effective_tenants(
     old: Settings, in_force: dict[str, TenantSettings], new: Settings
 ) -> dict[str, TenantSettings]:
@@ -115,7 +87,6 @@
         return SettingsChange(
             replace(settings, tenants=tuple(self.tenants.values())),
             retired,
-            longer_windows(old, settings),
             settings.load_signal is not old.load_signal,
         )
 
--- a/tests/core/test_idempotency.py
+++ b/tests/core/test_idempotency.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from datetime import datetime
+
 from marlstep.core.idempotency import KeyRecord, KeyTable
+from marlstep.core.idempotency_windows import IdempotencyWindows
 from marlstep.core.work_identity import IdempotencyKey
 from marlstep.units import MILLISECOND, SECOND, ZERO
+from tests.core.test_idempotency_windows import class_with_window
 from tests.support.node import START
 
 KEY = IdempotencyKey("book", "k1")
@@ -67,12 +71,61 @@
     assert table.find(KEY, START + SECOND) is None
 
 
-def test_a_longer_window_extends_the_entries_of_its_class_that_have_an_expiry() -> None:
-    table, other_key = KeyTable(), IdempotencyKey("open", "k1")
-    table.retain(KEY, "r1", START + SECOND, START, ZERO)
-    table.retain(other_key, "r2", START + SECOND, START, ZERO)
-    table.extend("book", SECOND, START, ZERO)
-    assert table.find(KEY, START + SECOND) is not None and table.find(other_key, START + SECOND) is None
+def table_with_window(seconds: int) -> KeyTable:
+    return KeyTable(IdempotencyWindows([class_with_window("book", seconds)]))
+
+
+def test_a_longer_window_covers_the_entries_of_its_class_that_have_a_start() -> None:
+    table, other_key, fixed_key = (
+        table_with_window(1),
+        IdempotencyKey("open", "k1"),
+        IdempotencyKey("book", "k2"),
+    )
+    for key in (KEY, other_key):
+        table.retain(key, "r1", START + SECOND, START, ZERO, window_starts_at=START)
+    table.retain(fixed_key, "r2", START + SECOND, START, ZERO)
+    table.apply_windows([class_with_window("book", 2)], START)
+    assert table.find(KEY, START + SECOND) is not None and table.find(KEY, START + 2 * SECOND) is None
+    assert table.find(other_key, START + SECOND) is None and table.find(fixed_key, START + SECOND) is None
+
+
+def test_a_shorter_window_does_not_shorten_what_was_promised() -> None:
+    table = table_with_window(5)
+    table.retain(KEY, "r1", START + 5 * SECOND, START, ZERO, window_starts_at=START)
+    table.apply_windows([class_with_window("book", 1)], START + SECOND)
+    assert table.find(KEY, START + 4 * SECOND) is not None and table.find(KEY, START + 5 * SECOND) is None
+
+
+def test_an_entry_stays_for_as_long_as_any_window_that_was_stated_for_its_class() -> None:
+    # Guards against an entry that is dropped by its own short window before the class's longer one comes back.
+    table = table_with_window(20)
+    table.apply_windows([class_with_window("book", 1)], START)
+    table.retain(KEY, "r1", START + 2 * SECOND, START + SECOND, ZERO, window_starts_at=START + SECOND)
+    later = START + 15 * SECOND
+    table.retain(IdempotencyKey("book", "k2"), "r2", later + SECOND, later, ZERO, window_starts_at=later)
+    assert table.find(KEY, later) is None
+    table.apply_windows([class_with_window("book", 20)], later)
+    assert table.find(KEY, later) is not None
+    table.retain(IdempotencyKey("book", "k3"), "r3", START + 60 * SECOND, START + 50 * SECOND, ZERO)
+    assert len(table) == 1
+
+
+def test_a_longer_window_is_reported_to_siblings_once_for_each_local_entry() -> None:
+    table, reported = table_with_window(1), list[datetime | None]()
+    table.retain(KEY, "r1", START + SECOND, START, ZERO, window_starts_at=START)
+    table.adopt(IdempotencyKey("book", "k2"), KeyRecord("remote", START + SECOND), START, ZERO)
+    table.on_changed = lambda key, record, dropped: reported.append(record.expires_at)
+    for _ in range(2):
+        table.apply_windows([class_with_window("book", 2)], START)
+    assert reported == [START + 2 * SECOND]
+
+
+def test_the_window_of_reported_work_counts_from_its_first_report() -> None:
+    # Guards against a second run where this process states a longer window than the sibling that ran the work.
+    table = table_with_window(10)
+    table.adopt(KEY, KeyRecord("remote", START + SECOND), START, ZERO)
+    table.adopt(KEY, KeyRecord("remote", START + SECOND, b"result", finished=True), START + SECOND, ZERO)
+    assert table.find(KEY, START + 9 * SECOND) is not None and table.find(KEY, START + 10 * SECOND) is None
 
 
 def test_on_changed_is_called_for_local_entries_and_not_for_remote_ones() -> None:
--- a/tests/core/test_served_settings.py
+++ b/tests/core/test_served_settings.py
@@ -1,4 +1,4 @@
-"""The classes and tenants that are accepted after a change of settings, and the quotas and windows in force."""
+"""The classes and tenants that are accepted after a change of settings, and the quotas in force."""
 
 from __future__ import annotations
 
@@ -6,9 +6,9 @@
 from typing import Any
 
 from marlstep.admission.settings import Settings, TenantSettings
-from marlstep.core.served_settings import RETIRED_CLASS_GRACE, ServedSettings, longer_windows
+from marlstep.core.served_settings import RETIRED_CLASS_GRACE, ServedSettings
 from marlstep.simulator.configuration import read_settings
-from marlstep.units import MILLISECOND, SECOND, span
+from marlstep.units import MILLISECOND, SECOND
 from tests.support.node import SETTINGS, START
 
 CLASS = "temp-history"
@@ -65,21 +65,3 @@
         "north": 7.0,
         "south": 21.0,
     }
-
-
-def test_only_windows_that_become_longer_are_extended() -> None:
-    old = settings_of()
-    factors = (2, 1, 0)
-    new = replace(
-        old,
-        classes=tuple(
-            replace(
-                class_settings,
-                idempotency_window_us=class_settings.idempotency_window_us * factor,
-            )
-            for class_settings, factor in zip(old.classes, factors, strict=True)
-        ),
-    )
-    [extension] = longer_windows(old, new)
-    assert (extension.request_class, extension.added) == (CLASS, span(old.classes[0].idempotency_window_us))
-    assert extension.deadline == span(old.classes[0].deadline_us)
--- a/tests/core/test_settings_change.py
+++ b/tests/core/test_settings_change.py
@@ -10,11 +10,12 @@
 
 from marlstep.admission.events import Outcome
 from marlstep.admission.settings import Settings
-from marlstep.core.errors import RequestRejectedError
+from marlstep.core.errors import RepeatedWorkError, RequestRejectedError
 from marlstep.core.interfaces import ResponseStatus
 from marlstep.core.served_settings import RETIRED_CLASS_GRACE
 from marlstep.simulator.configuration import read_settings
 from marlstep.units import MILLISECOND
+from tests.core.test_repeats import KEYED
 from tests.support.alternate_settings import RespDriver, alternate_settings
 from tests.support.node import SETTINGS, CoreDriver
 
@@ -166,3 +167,78 @@
         driver.clock.advance(wait_ms)
         driver.send_request(driver.connect(), 1, "book", id=2, once="k")
         assert driver.start_count(2) == runs
+
+
+def keyed_settings(window_us: int | None, effect: str = "deduplicated") -> Settings:
+    """Return settings in which the class `keyed` has this window and effect; without it if the window is None."""
+    rows = [dict(row) for row in KEYED["classes"]]
+    rows[2].update(repeatWindowUs=window_us, semantics=effect)
+    family_info = {**SETTINGS["familyInfo"], "cpus": 2}
+    if window_us is None:
+        rows.pop()
+        family_info = {
+            key: value[:2] if isinstance(value, list) and key != "ownStats" else value
+            for key, value in family_info.items()
+        }
+    return read_settings({**SETTINGS, "familyInfo": family_info, "classes": rows})
+
+
+WINDOW, SHORT, LONG = 5_000_000, 1_000_000, 30_000_000  # microseconds; the first is that of `KEYED`
+
+
+@pytest.mark.parametrize(
+    ("changes", "late_ms", "runs"),
+    [
+        ([None, LONG], 9_000, 1),  # the class is away, and comes back with a longer window
+        ([None, None, LONG], 9_000, 1),
+        ([None, SHORT], 4_000, 1),  # the promise that was made holds
+        ([None, SHORT], 6_000, 2),
+        ([None, SHORT, LONG], 9_000, 1),  # several changes in a row
+        ([LONG, SHORT], 9_000, 1),  # clients could rely on the long one for a time
+        ([SHORT, None, LONG, None, SHORT], 9_000, 1),
+        ([None, WINDOW], 6_000, 2),
+    ],
+)
+def test_the_longest_window_since_the_run_covers_a_repeat(
+    changes: list[int | None], late_ms: int, runs: int
+) -> None:
+    # Guards against a second run of work whose class was away in the settings before those of the longer window.
+    driver = CoreDriver(**KEYED)
+    driver.submit(1, "keyed", idempotency_key="k")
+    driver.end(1)
+    for window_us in changes:
+        driver.clock.advance(500)
+        driver.core.apply_settings(keyed_settings(window_us))
+        driver.clock.settle()
+    driver.clock.advance(late_ms - 500 * len(changes))
+    driver.submit(2, "keyed", idempotency_key="k")
+    assert [command for command, _ in driver.backend.commands].count("start") == runs
+    if runs == 1:
+        assert driver.statuses(2) == [ResponseStatus.DONE]
+
+
+def test_a_window_lasts_while_the_class_has_another_effect_in_between() -> None:
+    driver = CoreDriver(**KEYED)
+    driver.submit(1, "keyed", idempotency_key="k")
+    driver.end(1)
+    driver.core.apply_settings(keyed_settings(LONG, "at_most_once"))
+    with pytest.raises(RepeatedWorkError):
+        driver.submit(2, "keyed", idempotency_key="k")
+    driver.core.apply_settings(keyed_settings(SHORT, "idempotent"))
+    driver.core.apply_settings(keyed_settings(SHORT))
+    driver.clock.advance(9_000)
+    driver.submit(3, "keyed", idempotency_key="k")
+    assert driver.statuses(3) == [ResponseStatus.DONE]
+    assert [command for command, _ in driver.backend.commands].count("start") == 1
+
+
+def test_a_request_of_a_removed_class_within_its_grace_is_covered_when_the_class_returns() -> None:
+    driver = CoreDriver(**KEYED)
+    driver.core.apply_settings(keyed_settings(None))
+    driver.clock.advance(1_000)
+    driver.submit(1, "keyed", idempotency_key="k")
+    driver.end(1)
+    driver.core.apply_settings(keyed_settings(LONG))
+    driver.clock.advance(9_000)
+    driver.submit(2, "keyed", idempotency_key="k")
+    assert driver.statuses(2) == [ResponseStatus.DONE]
