Bound the memory of idempotency keys and kept results

Callers saw: a node that the platform kills for its memory, with all requests in it. Cause: each result of keyed work is kept for its window and a deadline, and nothing bounded the sum. Change: requests in flight, keys and results share what connections and buffers leave of memory_mb. Results go first, the oldest first, and their repeats fail; keys stay, and new keyed work that has no room for one is rejected before it runs.

--- a/marlstep/admin/api.py
+++ b/marlstep/admin/api.py
@@ -158,6 +158,10 @@
         values = {f"requests_{name}_total": float(count) for name, count in self.core.counts.items()}
         values["in_hand"] = float(self.core.in_flight)
         values["unanswered"] = float(self.core.unanswered)
+        keys = self.core.idempotency_keys
+        values["idempotency_keys"] = float(len(keys))
+        values["kept_results_bytes"] = float(keys.results.kept_bytes)
+        values["kept_results_dropped_total"] = float(keys.results.dropped)
         for component in self._components():
             values |= component.metrics()
         return HttpResponse(200, render_metrics(values))
--- a/marlstep/core/counters.py
+++ b/marlstep/core/counters.py
@@ -16,6 +16,8 @@
 DISCONNECTED_COUNT = "gone"  # requests whose client disconnected before the response
 NO_CONFIG_COUNT = "without rules"  # requests rejected because this node has no cluster configuration
 
+NO_KEY_ROOM_COUNT = "no_key_room"  # requests rejected because the memory for idempotency keys is full
+
 
 class RequestCounters:
     """Counts requests by what happened to them. No other object keeps these counts.
--- a/marlstep/core/engine.py
+++ b/marlstep/core/engine.py
@@ -53,6 +53,7 @@
     ResponseHandle,
     SiblingProcesses,
 )
+from marlstep.core.key_memory import KeyMemory
 from marlstep.core.node_actions import NodeActions
 from marlstep.core.repeats import RepeatedWork
 from marlstep.core.request_actions import RequestActions
@@ -113,7 +114,10 @@
         self._requests = RequestRegistry(max_requests)
         self._frontends: list[Frontend] = []
         self.serving_state = ServingState()
-        self.idempotency_keys = KeyTable(IdempotencyWindows(settings.classes))
+        self._key_memory = KeyMemory(self._requests)
+        self.idempotency_keys = KeyTable(
+            IdempotencyWindows(settings.classes), self._key_memory.room_for_results
+        )
         self.on_backend_ready: Callable[[], None] = self.serving_state.mark_ready
         self._compose(ports)
 
@@ -125,7 +129,15 @@
         arrivals = ControllerArrivals(timeline, requests, keys, events)
         self._claims = SiblingClaims(timeline, keys, arrivals, self._responses)
         self._intake = RequestIntake(
-            timeline, served, requests, keys, self._counters, self._responses, arrivals, self._claims
+            timeline,
+            served,
+            requests,
+            keys,
+            self._counters,
+            self._responses,
+            arrivals,
+            self._claims,
+            self._key_memory,
         )
         self._run_events = RunEvents(
             timeline, requests, self._responses, self._repeats, events, served, ports.call_client
@@ -329,6 +341,14 @@
         self._requests.set_capacity(max_requests)
         self._events.post(PortionChanged(share))
 
+    def limit_key_memory(self, limit_bytes: int) -> None:
+        """Limit the memory that requests in flight, idempotency keys and kept results share.
+
+        Results that don't fit are dropped at once. Keys stay; new work that needs one is rejected until they fit again.
+        """
+        self._key_memory.limit_bytes = limit_bytes
+        self.idempotency_keys.fit_results()
+
     def memory_and_concurrency_in_use(self) -> tuple[float, float]:
         """Return the share of the node in use here, and the share that all requests in flight may need."""
         return self._controller.memory_and_concurrency_in_use()
--- a/marlstep/core/idempotency.py
+++ b/marlstep/core/idempotency.py
@@ -17,12 +17,14 @@
 from __future__ import annotations
 
 import heapq
+import sys
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 from marlstep.admission.settings import ClassSettings
 from marlstep.core.idempotency_windows import IdempotencyWindows
+from marlstep.core.key_memory import KeptResults
 from marlstep.core.work_identity import IdempotencyKey
 from marlstep.units import ZERO
 
@@ -119,6 +121,15 @@
     return now
 
 
+# Returns the bytes that results may take beside a number of entries.
+RoomForResults = Callable[[int], int]
+
+
+def _unlimited_room(_entries: int) -> int:
+    """Return the room for results of a table without a memory limit."""
+    return sys.maxsize
+
+
 def _ignore_change(_key: IdempotencyKey, _record: KeyRecord, _dropped: bool) -> None:
     """Ignore the change: the default callback while no sibling process shares the node."""
 
@@ -126,15 +137,25 @@
 class KeyTable:
     """Idempotency keys and their records, one for each piece of work.
 
-    Entries that may be dropped are removed whenever the expiry of an entry is set.
+    Entries that may be dropped are removed whenever the expiry of an entry is set, and by `drop_expired`.
 
     Attributes:
         on_changed: called after each change of an entry that stands for a request of this process.
+        results: the results that the entries keep.
     """
 
-    def __init__(self, windows: IdempotencyWindows | None = None) -> None:
-        """Initialize an empty table whose changes are not observed. `windows` are those of the settings."""
+    def __init__(
+        self, windows: IdempotencyWindows | None = None, room_for_results: RoomForResults = _unlimited_room
+    ) -> None:
+        """Initialize an empty table whose changes are not observed.
+
+        Args:
+            windows: the windows of the settings.
+            room_for_results: returns how many bytes of results may be kept beside a number of entries.
+        """
         self._windows = windows or IdempotencyWindows()
+        self._room_for_results = room_for_results
+        self.results = KeptResults()
         self._records: dict[IdempotencyKey, KeyRecord] = {}
         self._expiries: list[tuple[datetime, IdempotencyKey]] = []  # heap of (time to drop the entry, key)
         self.on_changed: KeyChangeCallback = _ignore_change
@@ -198,7 +219,7 @@
         be recognised as a repeat.
         """
         if self.find(key, arrived_at) is None:
-            self._records[key] = KeyRecord(request_id, digest=digest)
+            self._put(key, KeyRecord(request_id, digest=digest))
             self.on_changed(key, self._records[key], False)
 
     def retain(
@@ -256,8 +277,11 @@
         """
         record = self._records.get(key)
         if record is not None and record.request_id == request_id and not record.is_remote:
+            self.results.discard(record)
             record.result, record.finished = result, True
+            self.results.add(record)
             self.on_changed(key, record, False)
+            self.fit_results()
 
     def drop(self, key: IdempotencyKey, request_id: str, *, even_if_retained: bool) -> None:
         """Drop the entry of a request of this process, so that the next request with the key is new work.
@@ -271,7 +295,7 @@
         if record is None or record.request_id != request_id or record.is_remote:
             return
         if even_if_retained or record.expires_at is None:
-            del self._records[key]
+            self._remove(key)
             self.on_changed(key, record, True)
 
     # Entries for requests of sibling processes.
@@ -296,7 +320,7 @@
             return
         remote.is_remote = True
         remote.window_starts_at = _remote_window_start(record, remote, now)
-        self._records[key] = remote
+        self._put(key, remote)
         if remote.expires_at is not None:
             self._set_expiry(key, remote, remote.expires_at, now, max_unread_time)
 
@@ -305,7 +329,7 @@
         record = self._records.get(key)
         if record is None or not record.is_remote or record.request_id != request_id:
             return False
-        del self._records[key]
+        self._remove(key)
         return True
 
     def mark_remote_outcomes_unknown(self, expires_at: datetime, now: datetime) -> list[IdempotencyKey]:
@@ -341,10 +365,35 @@
     ) -> None:
         """Set the expiry of an entry, and remove all entries whose time to drop has come."""
         heapq.heappush(self._expiries, (record.set_expiry(expires_at, max_unread_time), key))
+        self.drop_expired(now)
+
+    @property
+    def next_drop_at(self) -> datetime | None:
+        """When the next entry may be dropped; None if no entry has an expiry."""
+        return self._expiries[0][0] if self._expiries else None
+
+    def drop_expired(self, now: datetime) -> None:
+        """Remove all entries whose time to drop has come."""
         while self._expiries and self._expiries[0][0] <= now:
             droppable_at, due_key = heapq.heappop(self._expiries)
             self._drop_if_due(due_key, droppable_at, now)
 
+    def fit_results(self) -> None:
+        """Drop the oldest results until the rest fits into the memory for results."""
+        self.results.fit_into(self._room_for_results(len(self._records)))
+
+    def _put(self, key: IdempotencyKey, record: KeyRecord) -> None:
+        """Add an entry in place of any other with its key."""
+        self._remove(key)
+        self._records[key] = record
+        self.results.add(record)
+        self.fit_results()
+
+    def _remove(self, key: IdempotencyKey) -> None:
+        record = self._records.pop(key, None)
+        if record is not None:
+            self.results.discard(record)
+
     def _drop_if_due(self, key: IdempotencyKey, droppable_at: datetime, now: datetime) -> None:
         """Drop the entry of a heap item, unless its expiry was extended or a longer window may still cover it."""
         record = self._records.get(key)
@@ -354,4 +403,4 @@
         if kept_until is not None and kept_until > now:
             heapq.heappush(self._expiries, (kept_until, key))
         else:
-            del self._records[key]
+            self._remove(key)
--- a/marlstep/core/intake.py
+++ b/marlstep/core/intake.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 
 from marlstep.core.arrivals import ControllerArrivals, effective_arrival_time
-from marlstep.core.counters import ACCEPTED_COUNT, NO_CONFIG_COUNT, RequestCounters
+from marlstep.core.counters import ACCEPTED_COUNT, NO_CONFIG_COUNT, NO_KEY_ROOM_COUNT, RequestCounters
 from marlstep.core.idempotency import KeyTable
 from marlstep.core.intake_checks import check_id_free, check_repeat, check_served, key_of
 from marlstep.core.interfaces import Backend, Frontend, InboundRequest, Request, ResponseHandle
+from marlstep.core.key_memory import KeyMemory
 from marlstep.core.request_registry import RequestRegistry
 from marlstep.core.responses import ResponseDelivery
 from marlstep.core.served_settings import ServedSettings
 from marlstep.core.sibling_claims import SiblingClaims
 from marlstep.timer_queue import TimerQueue
-from marlstep.units import span
+from marlstep.units import EPOCH, SECOND, span
+
+log = logging.getLogger(__name__)
+
+KEY_ROOM_LOG_INTERVAL = 1 * SECOND  # between two log lines about missing memory for keys
 
 
 class RequestIntake:
@@ -36,13 +42,15 @@
         responses: ResponseDelivery,
         arrivals: ControllerArrivals,
         claims: SiblingClaims,
+        key_memory: KeyMemory,
     ) -> None:
         """Initialize with the collaborators that the parts of the core share."""
         self._timeline, self._served, self._requests, self._keys = timeline, served, requests, keys
         self._counters, self._responses = counters, responses
-        self._arrivals, self._claims = arrivals, claims
+        self._arrivals, self._claims, self._key_memory = arrivals, claims, key_memory
         self.accepts_work: Callable[[], bool] | None = None
         self.config_versions = ""
+        self._key_room_logged_at = EPOCH
 
     def submit(
         self, frontend: Frontend, response_handle: ResponseHandle, backend: Backend, inbound: InboundRequest
@@ -75,10 +83,26 @@
             self._timeline.soon(lambda: self._reject_without_config(request))
             return request.handle
         is_new_work = key is not None and prior is None
+        if is_new_work and not self._key_memory.has_room_for_key(len(self._keys)):
+            self._timeline.soon(lambda: self._reject_without_key_room(request))
+            return request.handle
         if not (is_new_work and self._claims.claim(request, now)):
             self._arrivals.enqueue(request, prior)
         return request.handle
 
+    def _reject_without_key_room(self, request: Request) -> None:
+        """Reject new work whose key would not fit into memory. The controller never sees this request."""
+        if not request.is_settled:
+            self._log_missing_key_room()
+            self._counters.count(request, NO_KEY_ROOM_COUNT)
+            self._responses.respond_without_outcome(request)
+
+    def _log_missing_key_room(self) -> None:
+        now = self._timeline.now()
+        if now - self._key_room_logged_at >= KEY_ROOM_LOG_INTERVAL:
+            self._key_room_logged_at = now
+            log.warning("new work rejected, no memory for its key: keys=%d", len(self._keys))
+
     def _reject_without_config(self, request: Request) -> None:
         """Reject a request because the node has no configuration, unless its work may have run here before.
 
--- a/marlstep/core/repeats.py
+++ b/marlstep/core/repeats.py
@@ -12,8 +12,10 @@
 from marlstep.core.responses import ResponseDelivery
 from marlstep.core.served_settings import ServedSettings
 from marlstep.core.work_identity import IdempotencyKey
-from marlstep.timer_queue import TimerQueue
-from marlstep.units import ZERO, span
+from marlstep.timer_queue import Timer, TimerQueue
+from marlstep.units import SECOND, ZERO, span
+
+MIN_DROP_INTERVAL = 1 * SECOND  # between two timers that drop expired entries
 
 
 class RepeatedWork:
@@ -33,6 +35,7 @@
         """Initialize with the collaborators that the parts of the core share."""
         self._timeline, self._requests, self._keys = timeline, requests, keys
         self._responses, self._served = responses, served
+        self._drop_timer: Timer | None = None
         self._waiting_for_remote: dict[IdempotencyKey, list[str]] = {}  # ids of waiting repeats, by key
 
     def retain_key(self, request: Request, lifetime: timedelta) -> None:
@@ -54,6 +57,19 @@
                 request.inbound.digest,
                 expires_at - span(request.class_settings.idempotency_window_us),
             )
+            self._schedule_drops()
+
+    def _schedule_drops(self) -> None:
+        """Set the timer that drops expired entries even if no new ones come."""
+        due = self._keys.next_drop_at
+        if due is not None and self._drop_timer is None:
+            earliest = self._timeline.now() + MIN_DROP_INTERVAL
+            self._drop_timer = self._timeline.at(max(due, earliest), self._drop_expired)
+
+    def _drop_expired(self) -> None:
+        self._drop_timer = None
+        self._keys.drop_expired(self._timeline.now())
+        self._schedule_drops()
 
     def drop_key(self, request: Request) -> None:
         """Drop the key of a request that never ran, so that the next request with the key is new work."""
@@ -87,9 +103,11 @@
         """Record a sibling's report on a piece of work. If the work has ended, end the repeats that wait for it."""
         class_settings = self._served.classes.get(key.request_class)
         max_unread_time = span(class_settings.deadline_us) if class_settings else ZERO
+        result = remote.result  # the table may drop it at once for lack of memory
         self._keys.adopt(key, remote, self._timeline.now(), max_unread_time)
-        if remote.finished or remote.result is not None:
-            self._end_waiting_repeats(key, remote.result)
+        self._schedule_drops()
+        if remote.finished or result is not None:
+            self._end_waiting_repeats(key, result)
 
     def drop_remote(self, key: IdempotencyKey, request_id: str) -> None:
         """Drop the entry of a sibling's request that never ran. The repeats that wait for it fail."""
--- a/marlstep/core/request_registry.py
+++ b/marlstep/core/request_registry.py
@@ -8,8 +8,9 @@
 from marlstep.core.interfaces import Request
 from marlstep.slots import SlotTable
 
-# Limit on requests in flight at once. It bounds the memory that they take; see `resource_budget.REQUEST_MEMORY`.
+# Limit on requests in flight at once. It bounds the memory that they take; see `REQUEST_MEMORY`.
 MAX_REQUESTS = 8_192
+REQUEST_MEMORY = 5 << 10  # bytes of a request in flight, including its body
 
 
 class RequestRegistry:
--- a/marlstep/node.py
+++ b/marlstep/node.py
@@ -24,7 +24,7 @@
 from marlstep.platform.kernel import KernelClient
 from marlstep.platform.name_service import NameServiceClient
 from marlstep.reload import ConfigReloader, log_setting_changes
-from marlstep.resource_budget import MIN_CONNECTIONS, resource_budget
+from marlstep.resource_budget import MIN_CONNECTIONS, key_memory_budget, resource_budget
 from marlstep.status_log import StatusLog, format_counters
 from marlstep.timer_queue import TimerQueue
 from marlstep.units import MILLISECOND, span
@@ -61,6 +61,7 @@
         budget = resource_budget(config, processes=1)
         ports = Ports(self.kernel, self.database)
         self.core = Core(config.settings, config.seed, timeline, ports, budget.requests)
+        self.core.limit_key_memory(key_memory_budget(config, processes=1))
         self.naming = NameServiceClient(config.name, config.name_service, timeline)
         self.components: dict[str, Component] = {}
         max_connections = self._make_components(config, budget.connections)
@@ -206,7 +207,9 @@
         Args:
             capacity_share: from 0 to 1; the rest belongs to the node's other process.
         """
-        budget = resource_budget(self.config, processes=1 if capacity_share >= 1 else 2)
+        processes = 1 if capacity_share >= 1 else 2
+        budget = resource_budget(self.config, processes)
+        self.core.limit_key_memory(key_memory_budget(self.config, processes))
         self.core.set_capacity_share(capacity_share, max(1, int(capacity_share * budget.requests)))
         self.resp.connections.capacity = max(MIN_CONNECTIONS, int(capacity_share * budget.connections))
 
--- a/marlstep/resource_budget.py
+++ b/marlstep/resource_budget.py
@@ -5,15 +5,17 @@
 from typing import NamedTuple
 
 from marlstep.config import Config
-from marlstep.core.request_registry import MAX_REQUESTS
+from marlstep.core.request_registry import MAX_REQUESTS, REQUEST_MEMORY
 
 HEALTH_ENDPOINT_CONNECTIONS = 48
 RESERVED_DESCRIPTORS = 64  # descriptors of one process for anything but frontend connections
 BASE_MEMORY = 20 << 20  # bytes that one process uses before its first request
 MIN_WORKING_MEMORY = 2 << 20  # bytes for requests and connections, even under a smaller memory limit
 CONNECTION_MEMORY = 16 << 10  # bytes: ring buffers, objects and the buffers of the transport
-REQUEST_MEMORY = 5 << 10  # bytes, including the body
 MIN_CONNECTIONS = 16
+MIN_KEY_MEMORY = (
+    1 << 20
+)  # bytes for requests in flight, keys and results of a process, even under a smaller limit
 
 
 class ResourceBudget(NamedTuple):
@@ -32,9 +34,33 @@
         config: names the memory and descriptor limits.
         processes: how many processes of the node share them.
     """
-    half_bytes = max(MIN_WORKING_MEMORY, config.memory_bytes - processes * BASE_MEMORY) // 2
+    half_bytes = _working_memory(config, processes) // 2
     reserved = RESERVED_DESCRIPTORS + (HEALTH_ENDPOINT_CONNECTIONS if config.health_listen else 0)
     descriptors = config.max_descriptors - processes * reserved
     # Under a small descriptor limit, clients still get the minimum.
     connections = max(min(descriptors, half_bytes // CONNECTION_MEMORY), MIN_CONNECTIONS)
     return ResourceBudget(min(MAX_REQUESTS, half_bytes // REQUEST_MEMORY), connections)
+
+
+def key_memory_budget(config: Config, processes: int) -> int:
+    """Return the bytes that requests in flight, idempotency keys and kept results share in one process.
+
+    It is what the connections and the buffers of uwsgi requests leave at their limits. The processes of a node have the
+    same keys, so each gets an equal part, whatever its share of the node's capacity.
+
+    Args:
+        config: names the memory limit.
+        processes: how many processes of the node share it.
+    """
+    connections = resource_budget(config, processes).connections * CONNECTION_MEMORY
+    uwsgi_buffers = 0
+    if config.uwsgi is not None:
+        buffers_of_request = config.uwsgi.max_body_bytes + config.uwsgi.max_response_bytes
+        uwsgi_buffers = config.uwsgi.max_connections * buffers_of_request
+    left = _working_memory(config, processes) - connections - uwsgi_buffers
+    return max(MIN_KEY_MEMORY, left // processes)
+
+
+def _working_memory(config: Config, processes: int) -> int:
+    """Return the bytes that the processes themselves leave for requests and connections."""
+    return max(MIN_WORKING_MEMORY, config.memory_bytes - processes * BASE_MEMORY)
--- a/tests/test_resource_budget.py
+++ b/tests/test_resource_budget.py
@@ -11,7 +11,7 @@
 from marlstep.core.request_registry import MAX_REQUESTS
 from marlstep.net.eventloop import LoopWaker
 from marlstep.node import Node
-from marlstep.resource_budget import ResourceBudget, resource_budget
+from marlstep.resource_budget import ResourceBudget, key_memory_budget, resource_budget
 from marlstep.timer_queue import TimerQueue
 from tests.support.node import raw_config
 
@@ -61,3 +61,48 @@
         assert node.resp.connections.capacity == connections
 
     asyncio.run(run())
+
+
+UWSGI = {
+    "uwsgi": {
+        "listen": "127.0.0.1:0",
+        "upstream": "127.0.0.1:1",
+        "max_connections": 64,
+        "max_body": 64 << 10,
+        "max_response": 192 << 10,
+        "vars": {"class": "C"},
+    }
+}
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "processes", "operator", "expected_mb"),
+    [
+        (32, 1, {}, 12 - 6),  # connections are limited to half of the working memory
+        (32, 2, {}, 1),  # the minimum
+        (96, 1, {}, 76 - 7),  # connections are limited by the descriptors
+        (96, 1, UWSGI, 76 - 7 - 16),
+        (96, 2, {}, (56 - 6) // 2),
+        (192, 1, {}, 172 - 7),
+    ],
+)
+def test_keys_and_results_share_what_connections_and_buffers_leave(
+    memory_mb: int, processes: int, operator: dict[str, Any], expected_mb: int
+) -> None:
+    # Guards against results of keyed work that grow beyond the memory limit.
+    config = check(raw_config(limits={"memory_mb": memory_mb, "sockets": 512}), operator)
+    assert key_memory_budget(config, processes) == expected_mb << 20
+
+
+def test_a_node_limits_its_keys_and_results_and_more_so_beside_another_process() -> None:
+    async def run() -> None:
+        config = check(raw_config(limits={"memory_mb": 64, "sockets": 512}))
+        node = Node(config, TimerQueue(LoopWaker(asyncio.get_running_loop())))
+        limits = []
+        for share in (None, 0.1, 1.0):
+            if share is not None:
+                node.limit_capacity(share)
+            limits.append(node.core._key_memory.limit_bytes)
+        assert limits == [37 << 20, 9 << 20, 37 << 20]
+
+    asyncio.run(run())
