--- a/tests/core/test_repeat_responses.py
+++ b/tests/core/test_repeat_responses.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import datetime, timedelta
 from typing import Any
 
@@ -18,8 +19,9 @@
 from marlstep.core.counters import NO_CONFIG_COUNT
 from marlstep.core.idempotency import KeyRecord
 from marlstep.core.interfaces import Response, ResponseHandle, ResponseStatus, Stage
+from marlstep.core.served_settings import RETIRED_CLASS_GRACE
 from marlstep.core.work_identity import IdempotencyKey
-from marlstep.units import SECOND
+from marlstep.units import MILLISECOND, SECOND
 from tests.core.test_repeats import KEYED
 from tests.support.node import CoreDriver
 
@@ -65,7 +67,23 @@
     driver.end(FIRST, Outcome.NOT_STARTED)
 
 
-ENDS = [end_of_drain, deadline, process_exit, loss_of_the_run, proof_that_the_first_attempt_never_ran]
+def exit_after_a_reload_without_the_class(driver: CoreDriver) -> None:
+    settings = driver.core.settings
+    driver.core.apply_settings(replace(settings, classes=settings.classes[:2]))
+    driver.clock.advance(RETIRED_CLASS_GRACE / MILLISECOND + 1)
+    driver.core.apply_settings(replace(settings, classes=settings.classes[:2]))
+    driver.clock.settle()
+    driver.core.respond_to_all()
+
+
+ENDS = [
+    end_of_drain,
+    deadline,
+    process_exit,
+    exit_after_a_reload_without_the_class,
+    loss_of_the_run,
+    proof_that_the_first_attempt_never_ran,
+]
 
 
 @pytest.mark.parametrize("end", ENDS)
