Move the record of a key out of the key table

Change: KeyRecord and the start of a remote window stand in core/key_record.py; no behaviour changes.

--- a/marlstep/core/arrivals.py
+++ b/marlstep/core/arrivals.py
@@ -7,8 +7,9 @@
 from marlstep.admission.events import Arrival
 from marlstep.admission.settings import Effect
 from marlstep.core.event_queue import EventQueue
-from marlstep.core.idempotency import KeyRecord, KeyTable
+from marlstep.core.idempotency import KeyTable
 from marlstep.core.interfaces import Request, Stage
+from marlstep.core.key_record import KeyRecord
 from marlstep.core.request_registry import RequestRegistry
 from marlstep.timer_queue import TimerQueue
 from marlstep.units import span_us
--- a/marlstep/core/engine.py
+++ b/marlstep/core/engine.py
@@ -41,7 +41,7 @@
 from marlstep.core.drain import GracefulShutdown
 from marlstep.core.event_queue import EventQueue
 from marlstep.core.gauge_timers import GaugeTimers
-from marlstep.core.idempotency import KeyRecord, KeyTable
+from marlstep.core.idempotency import KeyTable
 from marlstep.core.idempotency_windows import IdempotencyWindows
 from marlstep.core.intake import RequestIntake
 from marlstep.core.interfaces import (
@@ -54,6 +54,7 @@
     SiblingProcesses,
 )
 from marlstep.core.key_memory import KeyMemory
+from marlstep.core.key_record import KeyRecord
 from marlstep.core.node_actions import NodeActions
 from marlstep.core.repeats import RepeatedWork
 from marlstep.core.request_actions import RequestActions
--- a/marlstep/core/idempotency.py
+++ b/marlstep/core/idempotency.py
@@ -19,108 +19,19 @@
 import heapq
 import sys
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 from marlstep.admission.settings import ClassSettings
 from marlstep.core.idempotency_windows import IdempotencyWindows
 from marlstep.core.key_memory import KeptResults
+from marlstep.core.key_record import KeyRecord, remote_window_start
 from marlstep.core.work_identity import IdempotencyKey
 from marlstep.units import ZERO
 
-
-@dataclass(slots=True)
-class KeyRecord:
-    """The record of one piece of work.
-
-    Attributes:
-        request_id: the id of the original request of the work.
-        expires_at: the end of the idempotency window by the settings in force when the work began; None until the key
-            is retained for a window. A request that arrives then or later is new work unless a longer window covers it.
-        result: the result that repeats share; None if there is none.
-        finished: whether the original request has ended.
-        is_remote: whether the original request belongs to a sibling process.
-        digest: the digest of the work; empty if unknown.
-        droppable_at: when the entry may be dropped: later than `expires_at`, as requests that arrived before the end
-            of the window may still be unread.
-        window_starts_at: the start of the window, from which a longer one counts too; None if only `expires_at` counts.
-    """
-
-    request_id: str
-    expires_at: datetime | None = None
-    result: bytes | None = None
-    finished: bool = False
-    is_remote: bool = False
-    digest: str = ""
-    droppable_at: datetime | None = None
-    window_starts_at: datetime | None = None
-
-    def is_same_work(self, digest: str) -> bool:
-        """Return whether a request with this digest is an attempt of the same work.
-
-        A request whose digest is unknown is only an attempt of work whose digest is unknown too.
-        """
-        return self.digest == digest
-
-    @property
-    def is_of_version_without_digests(self) -> bool:
-        """Whether a sibling process reported the work without a digest, and thus without the scope of its key."""
-        return self.is_remote and not self.digest
-
-    def covers(self, arrived_at: datetime, window: timedelta = ZERO) -> bool:
-        """Return whether a request that arrived at `arrived_at` is a repeat of this work.
-
-        It is if it arrived before the end of the window, however late it is read. An entry without an expiry covers
-        every arrival time.
-
-        Args:
-            arrived_at: when the request arrived.
-            window: the longest window that has been in force since the work began.
-        """
-        if self.expires_at is None or arrived_at < self.expires_at:
-            return True
-        return self.window_starts_at is not None and arrived_at < self.window_starts_at + window
-
-    @property
-    def max_unread_time(self) -> timedelta:
-        """How long a request that arrived before the end of the window may lie unread; zero without an expiry."""
-        if self.droppable_at is None or self.expires_at is None:
-            return ZERO
-        return self.droppable_at - self.expires_at
-
-    def droppable_after(self, longest_window: timedelta) -> datetime | None:
-        """Return when the entry may be dropped if this window may come into force; None for one without an expiry."""
-        if self.expires_at is None or self.window_starts_at is None:
-            return self.droppable_at
-        return max(self.expires_at, self.window_starts_at + longest_window) + self.max_unread_time
-
-    def set_expiry(self, expires_at: datetime, max_unread_time: timedelta) -> datetime:
-        """Set the end of the window, and return when the entry may be dropped.
-
-        Args:
-            expires_at: the end of the window.
-            max_unread_time: how long a request that arrived before the end may wait unread and still be run.
-        """
-        self.expires_at, self.droppable_at = expires_at, expires_at + max_unread_time
-        return self.droppable_at
-
-
 # The last argument says whether the entry was dropped.
 KeyChangeCallback = Callable[[IdempotencyKey, KeyRecord, bool], None]
 
 
-def _remote_window_start(known: KeyRecord | None, remote: KeyRecord, now: datetime) -> datetime:
-    """Return from when windows count for work that a sibling process reports.
-
-    The report does not say when the work began, only until when the sibling's settings cover it, and the settings of
-    this process may state a longer window. The time of the first report is never before the work's arrival.
-    """
-    is_known = known is not None and known.is_remote and known.request_id == remote.request_id
-    if is_known and known is not None and known.window_starts_at is not None:
-        return known.window_starts_at
-    return now
-
-
 # Returns the bytes that results may take beside a number of entries.
 RoomForResults = Callable[[int], int]
 
@@ -319,7 +230,7 @@
         if is_local_in_force:
             return
         remote.is_remote = True
-        remote.window_starts_at = _remote_window_start(record, remote, now)
+        remote.window_starts_at = remote_window_start(record, remote, now)
         self._put(key, remote)
         if remote.expires_at is not None:
             self._set_expiry(key, remote, remote.expires_at, now, max_unread_time)
--- a/marlstep/core/intake_checks.py
+++ b/marlstep/core/intake_checks.py
@@ -9,8 +9,8 @@
 
 from marlstep.admission.settings import ClassSettings, Effect
 from marlstep.core.errors import RejectionReason, RepeatedWorkError, RequestRejectedError
-from marlstep.core.idempotency import KeyRecord
 from marlstep.core.interfaces import InboundRequest
+from marlstep.core.key_record import KeyRecord
 from marlstep.core.served_settings import ServedSettings
 from marlstep.core.work_identity import IdempotencyKey
 
--- a/marlstep/core/repeats.py
+++ b/marlstep/core/repeats.py
@@ -6,8 +6,9 @@
 
 from marlstep.admission.events import Outcome
 from marlstep.core.arrivals import effective_arrival_time, original_in_flight
-from marlstep.core.idempotency import KeyRecord, KeyTable
+from marlstep.core.idempotency import KeyTable
 from marlstep.core.interfaces import Request, Stage
+from marlstep.core.key_record import KeyRecord
 from marlstep.core.request_registry import RequestRegistry
 from marlstep.core.responses import ResponseDelivery
 from marlstep.core.served_settings import ServedSettings
--- a/marlstep/core/response_rules.py
+++ b/marlstep/core/response_rules.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 from marlstep.admission.events import Outcome
-from marlstep.core.idempotency import KeyRecord
 from marlstep.core.interfaces import Request, ResponseStatus, Stage
+from marlstep.core.key_record import KeyRecord
 
 # Stages in which a request stands behind another attempt that runs or has run, or that a sibling may have run.
 WAITS_FOR_OTHER_ATTEMPT = frozenset({Stage.CLAIMING, Stage.ATTACHED})
--- a/marlstep/core/sibling_claims.py
+++ b/marlstep/core/sibling_claims.py
@@ -7,7 +7,7 @@
 
 from marlstep.admission.settings import Effect
 from marlstep.core.arrivals import ControllerArrivals, effective_arrival_time
-from marlstep.core.idempotency import KeyRecord, KeyTable
+from marlstep.core.idempotency import KeyTable
 from marlstep.core.interfaces import (
     ClaimResult,
     Request,
@@ -16,6 +16,7 @@
     SiblingProcesses,
     Stage,
 )
+from marlstep.core.key_record import KeyRecord
 from marlstep.core.responses import ResponseDelivery
 from marlstep.core.work_identity import IdempotencyKey, WorkLabel
 from marlstep.timer_queue import TimerQueue
--- a/marlstep/hot_restart/host_adapter.py
+++ b/marlstep/hot_restart/host_adapter.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from marlstep.core.engine import Core
-from marlstep.core.idempotency import KeyRecord
+from marlstep.core.key_record import KeyRecord
 from marlstep.core.work_identity import IdempotencyKey, WorkLabel
 from marlstep.hot_restart.messages import KeyReleased, KeyStatus
 from marlstep.timer_queue import TimerQueue
--- a/tests/core/test_idempotency.py
+++ b/tests/core/test_idempotency.py
@@ -4,8 +4,9 @@
 
 from datetime import datetime
 
-from marlstep.core.idempotency import KeyRecord, KeyTable
+from marlstep.core.idempotency import KeyTable
 from marlstep.core.idempotency_windows import IdempotencyWindows
+from marlstep.core.key_record import KeyRecord
 from marlstep.core.work_identity import IdempotencyKey
 from marlstep.units import MILLISECOND, SECOND, ZERO
 from tests.core.test_idempotency_windows import class_with_window
--- a/tests/core/test_intake_checks.py
+++ b/tests/core/test_intake_checks.py
@@ -9,9 +9,9 @@
 
 from marlstep.admission.settings import Effect, TenantSettings
 from marlstep.core.errors import RejectionReason, RepeatedWorkError, RequestRejectedError
-from marlstep.core.idempotency import KeyRecord
 from marlstep.core.intake_checks import check_id_free, check_repeat, check_served, key_of
 from marlstep.core.interfaces import InboundRequest
+from marlstep.core.key_record import KeyRecord
 from marlstep.core.served_settings import ServedSettings
 from marlstep.core.work_identity import IdempotencyKey
 from marlstep.simulator.configuration import read_settings
--- a/tests/core/test_key_memory.py
+++ b/tests/core/test_key_memory.py
@@ -5,9 +5,9 @@
 import pytest
 
 from marlstep.core.counters import NO_KEY_ROOM_COUNT
-from marlstep.core.idempotency import KeyRecord
 from marlstep.core.interfaces import ResponseStatus
 from marlstep.core.key_memory import KEY_MEMORY, MAX_KEY_SHARE, RESULT_OVERHEAD, KeptResults, KeyMemory
+from marlstep.core.key_record import KeyRecord
 from marlstep.core.request_registry import REQUEST_MEMORY, RequestRegistry
 from marlstep.core.work_identity import IdempotencyKey
 from tests.core.test_repeats import KEYED
--- a/tests/core/test_repeat_responses.py
+++ b/tests/core/test_repeat_responses.py
@@ -17,8 +17,8 @@
 from marlstep.admission.actions import Action, Reject
 from marlstep.admission.events import Event, Outcome
 from marlstep.core.counters import NO_CONFIG_COUNT
-from marlstep.core.idempotency import KeyRecord
 from marlstep.core.interfaces import Response, ResponseHandle, ResponseStatus, Stage
+from marlstep.core.key_record import KeyRecord
 from marlstep.core.served_settings import RETIRED_CLASS_GRACE
 from marlstep.core.work_identity import IdempotencyKey
 from marlstep.units import MILLISECOND, SECOND
--- a/tests/core/test_sibling_claims.py
+++ b/tests/core/test_sibling_claims.py
@@ -5,8 +5,8 @@
 import pytest
 
 from marlstep.admission.settings import Effect
-from marlstep.core.idempotency import KeyRecord
 from marlstep.core.interfaces import ClaimResult
+from marlstep.core.key_record import KeyRecord
 from marlstep.core.sibling_claims import ClaimDecision, decide_claim
 
 
--- a/tests/races/test_idempotency_keys.py
+++ b/tests/races/test_idempotency_keys.py
@@ -5,7 +5,8 @@
 import pytest
 
 from marlstep.admission.events import Outcome
-from marlstep.core.idempotency import KeyRecord, KeyTable
+from marlstep.core.idempotency import KeyTable
+from marlstep.core.key_record import KeyRecord
 from marlstep.core.work_identity import IdempotencyKey, WorkLabel, body_digest
 from marlstep.frontends.resp import RespConnection
 from marlstep.frontends.resp_wire import write_frame
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -267,6 +267,7 @@
     "marlstep/core/idempotency.py",
     "marlstep/core/idempotency_windows.py",
     "marlstep/core/key_memory.py",
+    "marlstep/core/key_record.py",
     "marlstep/core/work_identity.py",
     "marlstep/core/arrivals.py",
     "marlstep/core/errors.py",
