Read a slow frame while requests are open

Callers saw: a request whose frame took more than 1.5 s, on a connection with an open request, was accepted to its last byte and never answered. Cause: timed_out ended the stream, and the connection, still open for its open requests, skipped what came after. Change: while requests are open the frame is read on; with the last response an incomplete one ends the stream as before.

--- a/marlstep/frontends/resp.py
+++ b/marlstep/frontends/resp.py
@@ -53,6 +53,7 @@
         self._tags = TagTracker()
         self._closing_announced = False  # CLOSING_FRAME was sent
         self._malformed = False  # no more frames are read from the stream
+        self._frame_overdue = False  # the frame that is being read exceeded the read timeout
         self._invalid_requests = 0
 
     def opened(self) -> None:
@@ -92,6 +93,7 @@
     def _update_progress(self, has_read_frame: bool) -> None:
         """Restart the read timeout if a frame was read, and mark the connection as busy or idle."""
         if has_read_frame:
+            self._frame_overdue = False
             self.frontend.connections.mark_proven(self)
         waits_for_peer = self._waits_for_peer
         if has_read_frame or not waits_for_peer:
@@ -172,6 +174,8 @@
         if not self._request_handles:
             if resp_policy.closes_after_last_response(self._malformed, self.at_eof, self.send_blocked):
                 self.finish()
+            elif self._frame_overdue:
+                self._reject_stream(MalformedFrameError(FrameFault.TIMEOUT, None))
             else:
                 self.frontend.mark_idle(self)
 
@@ -181,11 +185,15 @@
     # Closing of the connection.
 
     def timed_out(self) -> None:
-        """Treat a frame that is not complete in time as malformed.
+        """Treat a frame that is not complete in time as malformed, once no request is open.
 
-        `_reject_stream` drains the connection: it closes at once if no request is open, else after the last response.
+        `_reject_stream` then closes the connection at once.
         """
-        if self._waits_for_peer:
+        if not self._waits_for_peer:
+            return
+        if resp_policy.awaits_slow_frame(len(self._request_handles)):
+            self._frame_overdue = True
+        else:
             self._reject_stream(MalformedFrameError(FrameFault.TIMEOUT, None))
 
     def close_idle(self) -> None:
--- a/marlstep/frontends/resp_policy.py
+++ b/marlstep/frontends/resp_policy.py
@@ -46,6 +46,15 @@
     return send_blocked or unparsed_bytes > 0 or inside_frame or is_unproven
 
 
+def awaits_slow_frame(open_requests: int) -> bool:
+    """Whether a frame that is not complete in time is still read.
+
+    It is while the connection stays open anyway, for its open requests: a request counts as received with its last
+    byte, and is then owed a response. The wait ends with the last response, at the latest at the requests' deadlines.
+    """
+    return open_requests > 0
+
+
 def closes_after_last_response(is_malformed: bool, at_eof: bool, send_blocked: bool) -> bool:
     """Whether a connection closes after the response to its last open request.
 
--- a/tests/frontends/test_resp.py
+++ b/tests/frontends/test_resp.py
@@ -250,6 +250,41 @@
     assert not connection.closed
 
 
+@pytest.mark.parametrize("first_ends_before_the_frame", [False, True])
+def test_a_frame_written_slowly_behind_an_open_request_gets_its_response(
+    first_ends_before_the_frame: bool,
+) -> None:
+    # Guards against a request whose last byte is accepted, and which is never answered.
+    harness = RespHarness(cores=4)
+    connection = harness.connect()
+    frames = [exec_frame(tag, fields=b"at=%d,from=4,kb=1" % instant_ms(harness)) for tag in (1, 2, 3)]
+    harness.feed(connection, frames[0] + frames[1][:30])
+    for _ in range(2):
+        harness.node.clock.advance(900)
+        harness.feed(connection, frames[1][30:31])
+        frames[1] = frames[1][:30] + frames[1][31:]
+    harness.feed(connection, frames[1][30:] + frames[2])
+    for tag in (1, 2, 3) if first_ends_before_the_frame else (3, 2, 1):
+        harness.end_run(tag)
+    written = connection.take()
+    assert written.count(b"*4\r\n") == 3 and b"$1\r\n2\r\n$4\r\ndone" in written
+    harness.node.clock.advance(1_501)
+    assert not connection.closed
+
+
+def test_a_frame_that_is_never_complete_is_not_read_beyond_the_last_response() -> None:
+    # Guards against a connection that stays open for ever with a part of a frame.
+    harness = RespHarness()
+    connection = harness.connect()
+    harness.feed(connection, exec_frame(1) + exec_frame(2)[:30])
+    for _ in range(2):
+        harness.node.clock.advance(900)
+        harness.feed(connection, b"x")
+    assert not connection.closed
+    harness.end_run(1)
+    assert connection.closed and b"done" in connection.take()
+
+
 def test_hundreds_of_silent_connections_leave_slots_for_others() -> None:
     # Guards against connections that send nothing and fill the table, so that others are rejected (758 in one run).
     harness = RespHarness(limit=40)
