Record why each connection of a frontend ends

Change: ConnectionEnd names the first cause; a listener counts the ends by it, and logs those with input unread and evictions, with the client's port. The counts are not exported as metrics yet.

--- a/marlstep/frontends/base.py
+++ b/marlstep/frontends/base.py
@@ -25,15 +25,18 @@
 import os
 import select
 import socket
+from collections import Counter
 from datetime import timedelta
 
 from marlstep.core.engine import Core
 from marlstep.core.interfaces import Backend, InboundRequest, Response, ResponseHandle
 from marlstep.frontends import connection_policy
+from marlstep.frontends.connection_end import ConnectionEnd
 from marlstep.frontends.connection_table import ConnectionTable
 from marlstep.net.stream import RingStream
 from marlstep.slots import TableFullError
 from marlstep.timer_queue import Timer, TimerQueue
+from marlstep.units import whole_ms
 
 log = logging.getLogger(__name__)
 
@@ -51,18 +54,25 @@
         self.listener = listener
         self.handle = 0
         self.opened_at = listener.timeline.now()
+        self.end_reason: ConnectionEnd | None = None
         self._progress_timer: Timer | None = None
         self._close_timer: Timer | None = None
 
+    def end_for(self, reason: ConnectionEnd) -> None:
+        """Record why this connection is about to end; only the first reason counts."""
+        self.end_reason = self.end_reason or reason
+
     def opened(self) -> None:
         """Occupy a slot in the connection table, or abort the connection if none is free."""
         if self.listener.accept(self):
             self.start_progress_timer()
         else:
+            self.end_for(ConnectionEnd.TABLE_FULL)
             self.abort()
 
     def closed(self) -> None:
         """Free the slot and cancel the open requests, whose responses can no longer be delivered."""
+        self.listener.count_end(self)
         timeline = self.listener.timeline
         timeline.cancel(self._progress_timer)
         timeline.cancel(self._close_timer)
@@ -92,6 +102,7 @@
             return
         if self.send_blocked:
             log.warning("connection aborted: reason=peer_does_not_read")
+            self.end_for(ConnectionEnd.NOT_READ)
             self.abort()
         else:
             self.timed_out()
@@ -184,6 +195,7 @@
         self.draining = False
         self.port = 0  # set by `listen`; the port that the system chose if 0 was configured
         self._idle_sweep: Timer | None = None
+        self.ends: Counter[ConnectionEnd] = Counter()  # connections that have ended, by reason
         self._rejected_connections = 0
         self._server: asyncio.Server | None = None
         self._is_socket_passed = False
@@ -251,6 +263,7 @@
         if idle is not None and connection_policy.evicts_idle_connection(
             len(connections), connections.capacity
         ):
+            idle.end_for(ConnectionEnd.IDLE)
             idle.close_idle()
         oldest = connections.oldest_unproven()
         if oldest is not None and connection_policy.evicts_unproven_connection(
@@ -276,9 +289,23 @@
 
     def _evict(self, connection: Connection) -> None:
         """Abort an unproven connection. Its slot is free at once, and not only when the event loop has closed it."""
+        connection.end_for(ConnectionEnd.EVICTED)
         self.connections.remove(connection)
         connection.abort()
 
+    def count_end(self, connection: Connection) -> None:
+        """Count the end of a connection by its reason. Log it if input was left, as a request may be lost with it."""
+        reason = connection.end_reason or ConnectionEnd.PEER
+        self.ends[reason] += 1
+        if connection.inbox.used or reason is ConnectionEnd.EVICTED:
+            log.warning(
+                "connection ended with its input unread: reason=%s port=%d age_ms=%d unread_bytes=%d",
+                reason.value,
+                connection.peer_port,
+                whole_ms(self.timeline.now() - connection.opened_at),
+                connection.inbox.used,
+            )
+
     def mark_idle(self, connection: Connection) -> None:
         """Mark a connection as idle from now on, and schedule an idle sweep if none is due."""
         self.connections.mark_idle(connection, self.timeline.now())
@@ -298,6 +325,7 @@
         for connection, idle_since in self.connections.idle_connections():
             if not connection_policy.is_idle_too_long(idle_since, self.idle_timeout, now):
                 break
+            connection.end_for(ConnectionEnd.IDLE)
             connection.close_idle()
         self._schedule_idle_sweep()
 
@@ -320,6 +348,7 @@
         self.draining = True
         self._close_listening_socket(LISTEN_BACKLOG)
         for connection in self.connections:
+            connection.end_for(ConnectionEnd.DRAINING)
             connection.drain()
 
     def _close_listening_socket(self, max_accepts: int) -> None:
--- a/marlstep/frontends/resp.py
+++ b/marlstep/frontends/resp.py
@@ -15,6 +15,7 @@
 from marlstep.errors import RemoteProtocolError
 from marlstep.frontends import resp_policy
 from marlstep.frontends.base import RequestConnection, RequestListener
+from marlstep.frontends.connection_end import ConnectionEnd
 from marlstep.frontends.errors import FrameFault, MalformedFrameError
 from marlstep.frontends.rejection_log import RejectionLog
 from marlstep.frontends.resp_commands import (
@@ -155,6 +156,8 @@
 
     def _reject_stream(self, error: MalformedFrameError) -> None:
         """Stop reading and drain: close at once if no request is open, else after the last response."""
+        is_late = error.fault is FrameFault.TIMEOUT
+        self.end_for(ConnectionEnd.FRAME_TIMEOUT if is_late else ConnectionEnd.MALFORMED)
         self.frontend.log_rejection("malformed frame", str(error))
         if error.tag is not None and self._tags.mark_used(error.tag):
             self._reject_request(error.tag, str(error))
--- a/marlstep/frontends/uwsgi.py
+++ b/marlstep/frontends/uwsgi.py
@@ -15,6 +15,7 @@
 from marlstep.core.interfaces import Backend, InboundRequest, Response
 from marlstep.frontends import uwsgi_policy
 from marlstep.frontends.base import RequestConnection, RequestListener
+from marlstep.frontends.connection_end import ConnectionEnd
 from marlstep.frontends.errors import InvalidPacketError
 from marlstep.frontends.uwsgi_mapping import UwsgiMapping
 from marlstep.frontends.uwsgi_requests import http_response, read_request
@@ -78,6 +79,7 @@
     def _reject(self, status: int, reason: str) -> None:
         log.warning("request rejected: frontend=uwsgi status=%d reason=%s", status, reason)
         self._packet_done = True
+        self.end_for(ConnectionEnd.MALFORMED)
         self._respond(write_response(status, {}, reason))
 
     def _respond(self, response: bytes) -> None:
@@ -92,6 +94,7 @@
     def timed_out(self) -> None:
         """Close without a response if the packet was not complete in time."""
         if uwsgi_policy.closes_at_timeout(len(self._request_handles)):
+            self.end_for(ConnectionEnd.FRAME_TIMEOUT)
             self.finish()
 
     def drain(self) -> None:
--- a/marlstep/net/stream.py
+++ b/marlstep/net/stream.py
@@ -18,6 +18,11 @@
 WRITE_BUFFER_LIMIT = 16 * 1024  # bytes in asyncio's transport, above which writing is paused
 
 
+def _port_of(address: object) -> int:
+    """Return the port of a socket address of asyncio; 0 if it has none."""
+    return int(address[1]) if isinstance(address, tuple) else 0
+
+
 class RingStream(asyncio.BufferedProtocol):
     """A connection: `opened` is called first, then `data_received` any number of times, then `closed`.
 
@@ -34,6 +39,7 @@
         self._reading = True
         self._finishing = False
         self.at_eof = False  # the peer has ended its stream
+        self.peer_port = 0  # 0 if unknown
 
     # Methods that subclasses implement.
 
@@ -117,6 +123,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, and set its buffer limits."""
         self._transport = cast(asyncio.Transport, transport)
+        self.peer_port = _port_of(transport.get_extra_info("peername"))
         self._transport.set_write_buffer_limits(high=WRITE_BUFFER_LIMIT, low=0)
         self.opened()
 
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -229,6 +229,9 @@
     def write(self, data: bytes) -> None:
         self.written += data
 
+    def get_extra_info(self, name: str) -> object:
+        return ("127.0.0.1", 40_000) if name == "peername" else None
+
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         pass
 
