Spare a connection with unread input when one is evicted

Callers saw: beside a crowd, a request on a new connection was reset though its last byte had been written. Cause: the oldest unproven connection was evicted without a look at what had arrived on it. Inferred: that the rest of its bytes lay in the socket then. Change: the oldest one without input in its socket goes; ends are logged at a bounded rate.

--- a/marlstep/frontends/base.py
+++ b/marlstep/frontends/base.py
@@ -33,6 +33,7 @@
 from marlstep.frontends import connection_policy
 from marlstep.frontends.connection_end import ConnectionEnd
 from marlstep.frontends.connection_table import ConnectionTable
+from marlstep.frontends.rejection_log import RejectionLog
 from marlstep.net.stream import RingStream
 from marlstep.slots import TableFullError
 from marlstep.timer_queue import Timer, TimerQueue
@@ -196,6 +197,7 @@
         self.port = 0  # set by `listen`; the port that the system chose if 0 was configured
         self._idle_sweep: Timer | None = None
         self.ends: Counter[ConnectionEnd] = Counter()  # connections that have ended, by reason
+        self._end_log = RejectionLog(timeline.now())
         self._rejected_connections = 0
         self._server: asyncio.Server | None = None
         self._is_socket_passed = False
@@ -266,26 +268,32 @@
             idle.end_for(ConnectionEnd.IDLE)
             idle.close_idle()
         oldest = connections.oldest_unproven()
-        if oldest is not None and connection_policy.evicts_unproven_connection(
+        if oldest is not None and self._evicts_unproven(oldest):
+            candidate = connection_policy.eviction_candidate(connections.unproven())
+            if candidate is not None and self._evicts_unproven(candidate):
+                self._evict(candidate)
+        self._make_room_in_shrunk_table()
+
+    def _evicts_unproven(self, connection: Connection) -> bool:
+        connections = self.connections
+        return connection_policy.evicts_unproven_connection(
             len(connections),
             connections.unproven_count,
-            self.timeline.now() - oldest.opened_at,
+            self.timeline.now() - connection.opened_at,
             connections.capacity,
-        ):
-            self._evict(oldest)
-        self._make_room_in_shrunk_table()
+        )
 
     def _make_room_in_shrunk_table(self) -> None:
-        """Evict unproven connections, the oldest first, until a slot is free.
+        """Evict unproven connections by `eviction_candidate`, until a slot is free.
 
         The capacity may fall below the number of connections when another process of the node gets a share of it.
         """
         connections = self.connections
         while not connection_policy.has_free_slot(len(connections), connections.capacity):
-            oldest = connections.oldest_unproven()
-            if oldest is None:
+            candidate = connection_policy.eviction_candidate(connections.unproven())
+            if candidate is None:
                 return
-            self._evict(oldest)
+            self._evict(candidate)
 
     def _evict(self, connection: Connection) -> None:
         """Abort an unproven connection. Its slot is free at once, and not only when the event loop has closed it."""
@@ -298,12 +306,12 @@
         reason = connection.end_reason or ConnectionEnd.PEER
         self.ends[reason] += 1
         if connection.inbox.used or reason is ConnectionEnd.EVICTED:
-            log.warning(
-                "connection ended with its input unread: reason=%s port=%d age_ms=%d unread_bytes=%d",
-                reason.value,
-                connection.peer_port,
-                whole_ms(self.timeline.now() - connection.opened_at),
-                connection.inbox.used,
+            age_ms = whole_ms(self.timeline.now() - connection.opened_at)
+            details = f"{reason.value} port={connection.peer_port} age_ms={age_ms}"
+            self._end_log.write(
+                "connection ended with its input unread",
+                f"{details} unread_bytes={connection.inbox.used}",
+                self.timeline.now(),
             )
 
     def mark_idle(self, connection: Connection) -> None:
--- a/marlstep/frontends/connection_policy.py
+++ b/marlstep/frontends/connection_policy.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from datetime import datetime, timedelta
+from itertools import islice
+from typing import Protocol, TypeVar
 
 from marlstep.units import MILLISECOND, SECOND
 
@@ -15,6 +18,28 @@
 UNPROVEN_SHARE = 0.25  # share of the table that unproven connections may fill before the oldest is evicted
 MIN_UNPROVEN_AGE = 100 * MILLISECOND  # younger unproven connections are evicted only for the last slot
 MIN_SWEEP_INTERVAL = 50 * MILLISECOND  # between two sweeps for connections that exceeded the idle timeout
+MAX_EVICTION_CANDIDATES = 16  # unproven connections that are examined for one eviction
+
+
+class HasInput(Protocol):
+    """A connection whose socket may hold input that was not read yet."""
+
+    def has_unread_input(self) -> bool:
+        """Return whether it does."""
+
+
+Candidate = TypeVar("Candidate", bound=HasInput)
+
+
+def eviction_candidate(unproven: Iterable[Candidate]) -> Candidate | None:
+    """Return the unproven connection to evict first, if any: the oldest one without input that is still to be read.
+
+    The message of a connection with unread input may be complete. That of the others is not, so that nothing that was
+    received is lost with them. Where all of the oldest ones have unread input, the oldest goes.
+    """
+    candidates = list(islice(unproven, MAX_EVICTION_CANDIDATES))
+    without_input = (each for each in candidates if not each.has_unread_input())
+    return next(without_input, candidates[0] if candidates else None)
 
 
 def evicts_idle_connection(open_count: int, capacity: int) -> bool:
--- a/marlstep/frontends/connection_table.py
+++ b/marlstep/frontends/connection_table.py
@@ -83,7 +83,11 @@
 
     def oldest_unproven(self) -> Entry | None:
         """Return the unproven connection that was opened first, if any."""
-        return next(iter(self._unproven.values()), None)
+        return next(self.unproven(), None)
+
+    def unproven(self) -> Iterator[Entry]:
+        """Iterate over the unproven connections, the oldest first. The table must not change meanwhile."""
+        return iter(self._unproven.values())
 
     # Idle connections.
 
--- a/marlstep/net/stream.py
+++ b/marlstep/net/stream.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import select
 from collections import deque
 from typing import cast
 
@@ -69,6 +70,15 @@
         """
         return bool(self._overflow)
 
+    def has_unread_input(self) -> bool:
+        """Return whether the socket holds bytes, or the end of the peer's stream, that were not read yet."""
+        connection = None if self._transport is None else self._transport.get_extra_info("socket")
+        if connection is None:
+            return False
+        poll = select.poll()
+        poll.register(connection.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def send(self, data: bytes) -> None:
         """Send data, or queue it while the peer does not read. Ignored if the connection is closed."""
         transport = self._transport
