--- a/marlstep/cli/main.py
+++ b/marlstep/cli/main.py
@@ -25,7 +25,7 @@
     "trace": ("marlstep.cli.trace.group", "group"),
     "config": ("marlstep.cli.config", "group"),
     "drill": ("marlstep.cli.drill", "group"),
-    "explore": ("marlstep.cli.drill", "explore"),
+    "explore": ("marlstep.cli.explore", "explore"),
     "fleet": ("marlstep.cli.fleet.group", "group"),
 }
 
--- a/tests/fault_injection/test_lease_model.py
+++ b/tests/fault_injection/test_lease_model.py
@@ -8,7 +8,7 @@
 import pytest
 from click.testing import CliRunner, Result
 
-from marlstep.cli.drill import explore
+from marlstep.cli.explore import explore
 from marlstep.fault_injection.lease_model import STARTS, walk
 from marlstep.fault_injection.mutations import Mutation
 
