Tell operators how many keys a node has memory for

Cause: nothing said how many keys and results the limits allow, nor what a rejection for want of their memory means.

--- a/marlstep/core/engine.py
+++ b/marlstep/core/engine.py
@@ -18,6 +18,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -68,6 +69,8 @@
 from marlstep.timer_queue import TimerQueue
 from marlstep.units import instant_us, span
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(slots=True)
 class Ports:
@@ -347,7 +350,10 @@
 
         Results that don't fit are dropped at once. Keys stay; new work that needs one is rejected until they fit again.
         """
+        if limit_bytes == self._key_memory.limit_bytes:
+            return
         self._key_memory.limit_bytes = limit_bytes
+        log.info("memory for keys and results: bytes=%d max_keys=%d", limit_bytes, self._key_memory.max_keys)
         self.idempotency_keys.fit_results()
 
     def memory_and_concurrency_in_use(self) -> tuple[float, float]:
--- a/marlstep/core/key_memory.py
+++ b/marlstep/core/key_memory.py
@@ -30,11 +30,16 @@
         self._requests = requests
         self.limit_bytes = sys.maxsize
 
+    @property
+    def max_keys(self) -> int:
+        """How many keys fit while no request is in flight."""
+        return int(MAX_KEY_SHARE * self.limit_bytes) // KEY_MEMORY
+
     def has_room_for_key(self, keys: int) -> bool:
         """Return whether one more key fits beside this number of keys and the requests in flight."""
         needed = (keys + 1) * KEY_MEMORY
         in_flight = len(self._requests) * REQUEST_MEMORY
-        return needed <= MAX_KEY_SHARE * self.limit_bytes and needed + in_flight <= self.limit_bytes
+        return keys < self.max_keys and needed + in_flight <= self.limit_bytes
 
     def room_for_results(self, keys: int) -> int:
         """Return how many bytes of results may be kept beside this number of keys and the requests in flight."""
