End the predecessor of an unfinished upgrade with its drill

An upgrade keeps the old process in a local variable only, so a drill that closes meanwhile ends the new one alone. Change: a drilled node remembers all its processes, and the end of the drill kills each that still runs.

--- a/marlstep/fault_injection/process_cluster.py
+++ b/marlstep/fault_injection/process_cluster.py
@@ -86,6 +86,7 @@
         rate: How many seconds the node's clock advances in a second.
         store: The folder of the voter's store.
         process: The process that was started last; None before the first start.
+        processes: All processes that were started.
         uwsgi: The port of the uwsgi frontend.
         fleet: The port for messages of other nodes.
         admin: The port of the administration interface.
@@ -103,6 +104,7 @@
         self.folder = cluster.folder / name
         self.store = self.folder / "store"
         self.process: asyncio.subprocess.Process | None = None
+        self.processes: list[asyncio.subprocess.Process] = []
         self.uwsgi, self.fleet, self.admin = (cluster.ports.take() for _ in range(3))
         self.health_port = 0
         self.listening = socket.create_server(("127.0.0.1", 0))
@@ -221,6 +223,7 @@
             },
             pass_fds=[self.listening.fileno()],
         )
+        self.processes.append(self.process)
 
     async def healthy(self) -> bool:
         """Return whether the process that was started last reports that it serves."""
@@ -258,6 +261,13 @@
         if self.process is not None:
             await self.process.wait()
 
+    async def kill_all(self) -> None:
+        """Kill every process of the node that still runs, that of an unfinished upgrade included, and wait."""
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
     async def call(self, path: str, data: Any = None) -> Any:
         """Call the administration interface: POST with a JSON body if one is given, otherwise GET.
 
@@ -659,6 +669,7 @@
         for node in self.nodes.values():
             node.signal(signal.SIGCONT)
             await node.kill()
+            await node.kill_all()
         await asyncio.gather(*(link.close() for link in self.links.values()))
         await self.effect_recorder.close()
         for node in self.nodes.values():
