Hold no discarded records behind a result that stays

Callers would see: a process that outgrows its memory after all. Cause: KeptResults drops holders without a result only from the front of its order, so one result of a long window held all later records of shorter windows, uncounted. Change: the order is rebuilt once more than half of it, and 64 more, have no result. Measured: the new test holds 10,001 records without the change; core, races and hot restart tests pass.

--- a/marlstep/core/key_memory.py
+++ b/marlstep/core/key_memory.py
@@ -15,6 +15,7 @@
 
 KEY_MEMORY = 3 << 9  # bytes of a key: its record and the controller's entry of the request, with their timers
 RESULT_OVERHEAD = 64  # bytes of a kept result besides its content
+MAX_DISCARDED_HOLDERS = 64  # holders without a result in the order of results, beyond as many as have one
 MAX_KEY_SHARE = 7 / 8  # of the memory, for keys; the rest stays for requests in flight
 
 
@@ -63,6 +64,7 @@
     def __init__(self) -> None:
         """Initialize without results."""
         self._oldest_first: deque[ResultHolder] = deque()
+        self._kept_count = 0  # holders in that order which still have a result
         self.kept_bytes = 0
         self.dropped = 0
 
@@ -70,15 +72,19 @@
         """Count the result that this holder has got, if it has one."""
         if holder.result is not None:
             self._oldest_first.append(holder)
+            self._kept_count += 1
             self.kept_bytes += _size(holder.result)
 
     def discard(self, holder: ResultHolder) -> None:
         """Drop the result of a holder that is no longer needed."""
         if holder.result is not None:
+            self._kept_count -= 1
             self.kept_bytes -= _size(holder.result)
             holder.result = None
         while self._oldest_first and self._oldest_first[0].result is None:
             self._oldest_first.popleft()
+        if len(self._oldest_first) > 2 * self._kept_count + MAX_DISCARDED_HOLDERS:
+            self._oldest_first = deque(each for each in self._oldest_first if each.result is not None)
 
     def fit_into(self, limit_bytes: int) -> None:
         """Drop the oldest results until the rest takes at most this number of bytes."""
--- a/tests/core/test_key_memory.py
+++ b/tests/core/test_key_memory.py
@@ -6,7 +6,14 @@
 
 from marlstep.core.counters import NO_KEY_ROOM_COUNT
 from marlstep.core.interfaces import ResponseStatus
-from marlstep.core.key_memory import KEY_MEMORY, MAX_KEY_SHARE, RESULT_OVERHEAD, KeptResults, KeyMemory
+from marlstep.core.key_memory import (
+    KEY_MEMORY,
+    MAX_DISCARDED_HOLDERS,
+    MAX_KEY_SHARE,
+    RESULT_OVERHEAD,
+    KeptResults,
+    KeyMemory,
+)
 from marlstep.core.key_record import KeyRecord
 from marlstep.core.request_registry import REQUEST_MEMORY, RequestRegistry
 from marlstep.core.work_identity import IdempotencyKey
@@ -125,3 +132,16 @@
     assert [holder.result for holder in holders] == [None] * 4 + [b"xxxx"] and results.dropped == 3
     results.fit_into(0)
     assert results.kept_bytes == 0
+
+
+def test_discarded_results_behind_one_that_stays_are_not_held() -> None:
+    # Guards against records that stay in memory, uncounted, behind a result with a far longer window.
+    results = KeptResults()
+    oldest = KeyRecord("oldest", result=RESULT)
+    results.add(oldest)
+    for number in range(10_000):
+        holder = KeyRecord(f"r{number}", result=RESULT)
+        results.add(holder)
+        results.discard(holder)
+    assert len(results._oldest_first) <= MAX_DISCARDED_HOLDERS + 2
+    assert oldest.result == RESULT and results.kept_bytes == RESULT_MEMORY
