Drop expired keys in time behind a longer window

Callers would see: new keyed work rejected for want of memory that expired keys still take. Found by rereading. Cause: the timer that drops expired entries was set for the first expiry and not moved for an earlier one that came later; keys of a lost sibling set none. Change: an earlier expiry replaces the timer, and the loss of a sibling sets it. Measured: the two new tests fail without the change; core, races and hot restart tests pass.

--- a/marlstep/core/repeats.py
+++ b/marlstep/core/repeats.py
@@ -37,6 +37,7 @@
         self._timeline, self._requests, self._keys = timeline, requests, keys
         self._responses, self._served = responses, served
         self._drop_timer: Timer | None = None
+        self._drops_at: datetime | None = None  # when that timer is due
         self._waiting_for_remote: dict[IdempotencyKey, list[str]] = {}  # ids of waiting repeats, by key
 
     def retain_key(self, request: Request, lifetime: timedelta) -> None:
@@ -62,13 +63,16 @@
 
     def _schedule_drops(self) -> None:
         """Set the timer that drops expired entries even if no new ones come."""
-        due = self._keys.next_drop_at
-        if due is not None and self._drop_timer is None:
-            earliest = self._timeline.now() + MIN_DROP_INTERVAL
-            self._drop_timer = self._timeline.at(max(due, earliest), self._drop_expired)
+        next_drop_at = self._keys.next_drop_at
+        if next_drop_at is None:
+            return
+        due = max(next_drop_at, self._timeline.now() + MIN_DROP_INTERVAL)
+        if self._drops_at is None or due < self._drops_at:
+            self._timeline.cancel(self._drop_timer)
+            self._drop_timer, self._drops_at = self._timeline.at(due, self._drop_expired), due
 
     def _drop_expired(self) -> None:
-        self._drop_timer = None
+        self._drop_timer = self._drops_at = None
         self._keys.drop_expired(self._timeline.now())
         self._schedule_drops()
 
@@ -123,6 +127,7 @@
         """
         for key in self._keys.mark_remote_outcomes_unknown(expires_at, self._timeline.now()):
             self._end_waiting_repeats(key, None)
+        self._schedule_drops()
 
     def _end_waiting_repeats(self, key: IdempotencyKey, result: bytes | None) -> None:
         outcome = Outcome.ERROR if result is None else Outcome.OK
--- a/tests/core/test_key_memory.py
+++ b/tests/core/test_key_memory.py
@@ -17,6 +17,7 @@
 from marlstep.core.key_record import KeyRecord
 from marlstep.core.request_registry import REQUEST_MEMORY, RequestRegistry
 from marlstep.core.work_identity import IdempotencyKey
+from marlstep.units import SECOND
 from tests.core.test_repeats import KEYED
 from tests.support.node import START, CoreDriver
 
@@ -145,3 +146,23 @@
         results.discard(holder)
     assert len(results._oldest_first) <= MAX_DISCARDED_HOLDERS + 2
     assert oldest.result == RESULT and results.kept_bytes == RESULT_MEMORY
+
+
+def test_expired_keys_go_in_time_although_a_longer_window_was_the_first() -> None:
+    # Guards against a timer that is set for the first entry's far expiry, and not for an earlier one that comes later.
+    driver = CoreDriver(**KEYED)
+    long_key = IdempotencyKey("keyed", "long")
+    driver.core.adopt_remote_key(
+        long_key, KeyRecord("elsewhere", START + 1_000 * SECOND, RESULT, finished=True)
+    )
+    run_work(driver, 1)
+    driver.clock.advance(12_000)
+    assert [key for key, _ in driver.core.idempotency_keys] == [long_key]
+
+
+def test_keys_of_a_lost_sibling_go_without_new_ones() -> None:
+    driver = CoreDriver(**KEYED)
+    driver.core.adopt_remote_key(IdempotencyKey("keyed", "k"), KeyRecord("elsewhere"))
+    driver.core.mark_remote_outcomes_unknown(START + 5 * SECOND)
+    driver.clock.advance(12_000)
+    assert len(driver.core.idempotency_keys) == 0
