--- a/marlstep/core/counters.py
+++ b/marlstep/core/counters.py
@@ -15,7 +15,6 @@
 CALL_COUNT = "calls"  # downstream calls, each attempt counted
 DISCONNECTED_COUNT = "gone"  # requests whose client disconnected before the response
 NO_CONFIG_COUNT = "without rules"  # requests rejected because this node has no cluster configuration
-
 NO_KEY_ROOM_COUNT = "no_key_room"  # requests rejected because the memory for idempotency keys is full
 
 
--- a/marlstep/core/idempotency.py
+++ b/marlstep/core/idempotency.py
@@ -31,7 +31,6 @@
 # The last argument says whether the entry was dropped.
 KeyChangeCallback = Callable[[IdempotencyKey, KeyRecord, bool], None]
 
-
 # Returns the bytes that results may take beside a number of entries.
 RoomForResults = Callable[[int], int]
 
--- a/marlstep/core/idempotency_windows.py
+++ b/marlstep/core/idempotency_windows.py
@@ -49,8 +49,11 @@
     def change(self, classes: Iterable[ClassSettings], now: datetime) -> None:
         """Put the windows of new settings in force, and remember those of the settings before."""
         before, self._in_force = self._in_force, {each.name: each for each in classes}
-        for name, windows in list(self._past.items()):
-            self._past[name] = [each for each in windows if each.relevant_until > now]
+        self._past = {
+            name: relevant
+            for name, windows in self._past.items()
+            if (relevant := [each for each in windows if each.relevant_until > now])
+        }
         for name, request_class in before.items():
             past = PastWindow(
                 span(request_class.idempotency_window_us), now, now + relevance_after(request_class)
--- a/marlstep/frontends/base.py
+++ b/marlstep/frontends/base.py
@@ -71,6 +71,10 @@
             self.end_for(ConnectionEnd.TABLE_FULL)
             self.abort()
 
+    def handling_failed(self) -> None:
+        """Record the error as the reason of the end."""
+        self.end_for(ConnectionEnd.ERROR)
+
     def closed(self) -> None:
         """Free the slot and cancel the open requests, whose responses can no longer be delivered."""
         self.listener.count_end(self)
--- a/marlstep/frontends/connection_end.py
+++ b/marlstep/frontends/connection_end.py
@@ -1,4 +1,4 @@
-"""Why connections of frontends end: reasons for the log and for metrics."""
+"""Why connections of frontends end: reasons for the log and for counts."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class ConnectionEnd(enum.Enum):
-    """The first cause of the end of a connection. The values appear in logs and metrics."""
+    """The first cause of the end of a connection. The values appear in logs."""
 
     PEER = "peer"  # the peer closed or reset it, or its response was the last
     TABLE_FULL = "table_full"  # no slot was free
--- a/marlstep/frontends/resp.py
+++ b/marlstep/frontends/resp.py
@@ -61,6 +61,7 @@
         """Occupy a slot in the connection table; drain at once if the frontend is draining."""
         super().opened()
         if self.frontend.draining:
+            self.end_for(ConnectionEnd.DRAINING)
             self.drain()
 
     def data_received(self) -> None:
--- a/marlstep/net/stream.py
+++ b/marlstep/net/stream.py
@@ -55,6 +55,9 @@
         """Handle the end of the connection, whatever its cause. Called once."""
         raise NotImplementedError
 
+    def handling_failed(self) -> None:
+        """Handle an exception of `data_received`, before the connection is aborted."""
+
     # Methods that subclasses and owners call.
 
     @property
@@ -161,6 +164,7 @@
         except Exception:
             # An error in handling one connection must not affect the others.
             log.exception("connection aborted: reason=unhandled_error connection=%s", type(self).__name__)
+            self.handling_failed()
             self.abort()
             return
         self._update_reading()
--- a/tests/core/test_counters.py
+++ b/tests/core/test_counters.py
@@ -22,8 +22,9 @@
         counters.CALL_COUNT,
         counters.DISCONNECTED_COUNT,
         counters.NO_CONFIG_COUNT,
+        counters.NO_KEY_ROOM_COUNT,
     )
-    assert names == ("read", "runs", "calls", "gone", "without rules")
+    assert names == ("read", "runs", "calls", "gone", "without rules", "no_key_room")
     assert [status.value for status in ResponseStatus] == ["done", "refused", "failed", "expired"]
 
 
--- a/tests/frontends/test_connection_end.py
+++ b/tests/frontends/test_connection_end.py
@@ -48,6 +48,20 @@
     harness.node.clock.advance(5_000)
 
 
+def handling_fails(harness: RespHarness, connection: FakeTransport) -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(connection.stream, "data_received", lambda: 1 / 0)
+        connection.feed(b"*")
+
+
+def connection_opens_in_a_drain(harness: RespHarness, connection: FakeTransport) -> None:
+    connection.abort()
+    harness.frontend.ends.clear()
+    harness.frontend.draining = True
+    harness.connect()
+    harness.node.clock.advance(5_000)
+
+
 def slot_is_needed(harness: RespHarness, connection: FakeTransport) -> None:
     harness.node.clock.advance(200)
     for _ in range(2):
@@ -122,6 +136,8 @@
         (peer_does_not_read, ConnectionEnd.NOT_READ, False),
         (connection_is_idle, ConnectionEnd.IDLE, False),
         (frontend_stops, ConnectionEnd.DRAINING, False),
+        (connection_opens_in_a_drain, ConnectionEnd.DRAINING, False),
+        (handling_fails, ConnectionEnd.ERROR, True),
         (slot_is_needed, ConnectionEnd.EVICTED, True),
     ],
 )
