Review: a stall of the new process in an upgrade lets keyed work run twice

Cause: a restart connection that is closed because one side does not read leaves both processes alive, and the new one counts the time for which it refuses unknown keys from the loss, while the old one goes on running keyed work.

--- a/review/second/kernel.py
+++ b/review/second/kernel.py
@@ -34,6 +34,7 @@
     ended: bool = False  # its run is over
     answered: bool = False
     calls: int = 0  # calls that its run has waited for
+    result_bytes: int = 0  # its result is filled up to this size
     call_reply: bytes | None = None  # of the database, for the call that the run waits for
 
 
@@ -213,7 +214,7 @@
 
 def result_of(work: Work) -> bytes:
     """Return the result that a run of this work makes."""
-    return b"result of " + work.id.encode()
+    return (b"result of " + work.id.encode()).ljust(work.result_bytes, b".")
 
 
 class KernelPort:
