Take no new tag for a repeated one on a connection with gaps

Callers saw: a front end whose tags have gaps lost requests after 1,024 tags on a connection; the node sent `0 closing` and dropped what lay behind. Cause: TagTracker remembered at most 1,024 tags beyond the first gap, and reported each further one as used; a repeated tag ends the connection. Evidence: the log names a tag as repeated that was written once; without gaps nothing is lost. Ruled out, by their own log lines: open requests, the read timeout, the limit of invalid requests. FORGET of a forgotten tag no longer counts as an invalid request. Measured: test_requests_whose_tags_have_gaps_are_all_answered failed before ("expected a tag that was not used before, got '2057'") and passes now.

--- a/marlstep/frontends/resp.py
+++ b/marlstep/frontends/resp.py
@@ -114,7 +114,7 @@
         if isinstance(command, ForgetCommand):
             self._forget(command)
             return
-        if not self._tags.mark_used(command.tag):
+        if not self._mark_tag_used(command.tag):
             raise MalformedFrameError(FrameFault.REPEATED_TAG, str(command.tag))
         match command:
             case ExecCommand():
@@ -125,6 +125,10 @@
             case UnknownCommand(tag):
                 self._reject_request(tag, "unknown command")
 
+    def _mark_tag_used(self, tag: int) -> bool:
+        """Mark a tag as used; False if it is that of an open request, or remembered as used."""
+        return tag not in self._request_handles and self._tags.mark_used(tag)
+
     def _exec(self, command: ExecCommand) -> None:
         """Submit a request; a request that the intake rejects gets `error` at once and counts as invalid.
 
@@ -142,7 +146,7 @@
     def _forget(self, command: ForgetCommand) -> None:
         """Cancel a request whose client stopped waiting. It may have ended already, if FORGET crossed its response."""
         was_open = self.cancel_request(command.tag)
-        if not was_open and not self._tags.is_used(command.tag):
+        if not was_open and not self._tags.may_be_used(command.tag):
             self._count_invalid_request("FORGET of a tag that was never used")
 
     def _reject_request(self, tag: int, reason: str) -> None:
@@ -160,7 +164,7 @@
         is_late = error.fault is FrameFault.TIMEOUT
         self.end_for(ConnectionEnd.FRAME_TIMEOUT if is_late else ConnectionEnd.MALFORMED)
         self.frontend.log_rejection("malformed frame", str(error))
-        if error.tag is not None and self._tags.mark_used(error.tag):
+        if error.tag is not None and self._mark_tag_used(error.tag):
             self._reject_request(error.tag, str(error))
         self._malformed = True
         self.inbox.skip(self.inbox.used)
--- a/tests/frontends/test_resp.py
+++ b/tests/frontends/test_resp.py
@@ -145,6 +145,32 @@
     assert other.take() and harness.node.core.counts["read"] == 1
 
 
+def test_requests_whose_tags_have_gaps_are_all_answered() -> None:
+    # Guards against lost requests of a client that numbers the requests of all its connections together: its 1,025th
+    # tag beyond a gap ended the connection, and the requests behind it got no answer.
+    harness = RespHarness()
+    connection = harness.connect()
+    bursts = [range(first, first + 12) for first in range(13, 3_000, 24)]
+    for burst in bursts:
+        harness.feed(connection, b"".join(write_frame(b"ALIVE", b"%d" % tag) for tag in burst))
+        expected = b"".join(write_frame(b"%d" % tag, b"healthy", b"", b"") for tag in burst)
+        assert connection.take() == expected and not connection.closed
+    late_forgets = b"".join(write_frame(b"FORGET", b"%d" % burst[0]) for burst in bursts)
+    harness.feed(connection, late_forgets)
+    assert connection.take() == b"" and not connection.closed
+
+
+def test_a_repeated_tag_of_an_open_request_is_found_after_any_number_of_others() -> None:
+    # Guards against two requests under one tag, of which the client could not tell the answers apart.
+    harness = RespHarness()
+    connection = harness.connect()
+    harness.feed(connection, exec_frame(3))
+    harness.feed(connection, b"".join(write_frame(b"ALIVE", b"%d" % tag) for tag in range(5, 1_000, 2)))
+    connection.take()
+    harness.feed(connection, exec_frame(3))
+    assert connection.take() == write_frame(b"0", b"closing") and harness.node.core.in_flight == 1
+
+
 def test_a_request_beyond_32_open_ones_gets_an_error_and_the_32_are_accepted() -> None:
     harness = RespHarness()
     connection = harness.connect()
