Count the warm-up from the start of the kernel

Cause: the controller counted the warm-up from its own first turn. The kernel's BOOTED says when and in which state it started; both were only logged. Ruled out: a limit that adapts too late, as it is clamped to the warm machine's concurrency. Change: each BOOTED is passed on as the event BackendStarted; the warm-up counts from there, if the settings or the kernel say that it started cold. Also for a kernel that starts again, and for the new process of an upgrade.

--- a/marlstep/admission/controller.py
+++ b/marlstep/admission/controller.py
@@ -80,6 +80,7 @@
             events.QuotaChanged: self._on_quota_changed,
             events.PoolCapacityChanged: self._on_pool_capacity_changed,
             events.PortionChanged: self._on_portion_changed,
+            events.BackendStarted: self._on_backend_started,
         }
         self._apply_settings(settings, ())
 
@@ -208,6 +209,10 @@
     def _on_portion_changed(self, event: events.PortionChanged) -> None:
         self.state.set_portion(event.portion)
 
+    def _on_backend_started(self, event: events.BackendStarted) -> None:
+        self.state.set_backend_start(event.age_us, event.is_cold)
+        self.concurrency.clamp()
+
     # Last steps of a turn: due responses and the timer.
 
     def _respond_if_due(self, entry: Entry) -> None:
--- a/marlstep/admission/controller_state.py
+++ b/marlstep/admission/controller_state.py
@@ -62,7 +62,11 @@
         self.portion = 1.0
         self.last_runnable_arrival_at = NEVER
         self.respond_by = NEVER
-        self._started_at: int | None = None
+        self._started_at: int | None = (
+            None  # the warm-up counts from here: the backend's start, once it is known
+        )
+        self._has_begun = False  # the first turn has begun
+        self._backend_started_cold = False
         self.wakeups = WakeHeap()
         self.buckets = TokenBuckets()
         self.callers = CallerActivity()
@@ -100,13 +104,14 @@
 
     def begin_turn(self, now: int) -> bool:
         """Advance the clock to `now` and clear the actions; return whether this is the first turn."""
-        is_first = self._started_at is None
-        if is_first:
+        is_first = not self._has_begun
+        self._has_begun = True
+        if self._started_at is None:
             self._started_at = now
         self.call_reserve.refill(now - self.now)
         self.now = now
         self.actions = []
-        if self.settings.warms_up:
+        if self._warms_up:
             self._update_capacity()
         return is_first
 
@@ -120,6 +125,24 @@
         self.portion = max(portion, MIN_PORTION)
         self._update_capacity()
 
+    def set_backend_start(self, age_us: int, is_cold: bool) -> None:
+        """Count the warm-up from the start of the backend, which was `age_us` microseconds ago.
+
+        The backend may start long after this process, as well as long before it.
+
+        Args:
+            age_us: How long ago the backend started.
+            is_cold: Whether it started with a part of its capacity, whatever the settings say.
+        """
+        self._started_at = self.now - age_us
+        self._backend_started_cold = is_cold
+        self._update_capacity()
+
+    @property
+    def _warms_up(self) -> bool:
+        """Whether the server starts with a part of its capacity, by its settings or by its backend's report."""
+        return self.settings.warms_up or self._backend_started_cold
+
     def add(self, entry: Entry, unread_us: int) -> None:
         """Queue an arrival, and schedule a check past its objective or, if sooner, before its deadline."""
         entry.deadline_at = min(entry.deadline_at, self.respond_by)
@@ -228,7 +251,7 @@
     def _warm_share(self) -> float:
         """Return the share of its full capacity that the server currently has, 0 to 1."""
         settings = self.settings
-        if not settings.warms_up or settings.warm_up_us <= 0:
+        if not self._warms_up or settings.warm_up_us <= 0:
             return FULLY_WARM
         if self._started_at is None:
             return FULLY_WARM
--- a/marlstep/admission/events.py
+++ b/marlstep/admission/events.py
@@ -169,6 +169,19 @@
     portion: float
 
 
+@dataclass(slots=True)
+class BackendStarted:
+    """The backend has reported when it started and in which state, on a new connection.
+
+    Attributes:
+        age_us: How long ago it started.
+        is_cold: Whether it started with a part of its capacity.
+    """
+
+    age_us: int
+    is_cold: bool
+
+
 @dataclass(slots=True)
 class Measurements:
     """Measurements by the controller of another process of this server; 0 means not measured.
@@ -230,5 +243,6 @@
     | SettingsChanged
     | PoolCapacityChanged
     | PortionChanged
+    | BackendStarted
     | Measurements
 )
--- a/marlstep/core/engine.py
+++ b/marlstep/core/engine.py
@@ -26,6 +26,7 @@
 
 from marlstep.admission.controller import Controller
 from marlstep.admission.events import (
+    BackendStarted,
     ClientDisconnected,
     Event,
     Measurements,
@@ -67,7 +68,7 @@
 from marlstep.core.sibling_claims import SiblingClaims
 from marlstep.core.work_identity import IdempotencyKey
 from marlstep.timer_queue import TimerQueue
-from marlstep.units import instant_us, span
+from marlstep.units import instant_us, span, span_us
 
 log = logging.getLogger(__name__)
 
@@ -201,6 +202,10 @@
 
     # Reports from backends, call clients and gauge sources: see `EventSink`.
 
+    def backend_started(self, age: timedelta, is_cold: bool) -> None:
+        """Handle the report of how long ago the backend started, and whether it started cold."""
+        self._events.post(BackendStarted(span_us(age), is_cold))
+
     def backend_ready(self) -> None:
         """Handle the report that the backend is up."""
         self.on_backend_ready()
--- a/marlstep/core/interfaces.py
+++ b/marlstep/core/interfaces.py
@@ -254,6 +254,9 @@
 class EventSink(Protocol):
     """Receives the reports of backends, call clients and gauge sources. `Core` implements it."""
 
+    def backend_started(self, age: timedelta, is_cold: bool) -> None:
+        """Report, before `backend_ready`, how long ago the backend started, and whether it started cold."""
+
     def backend_ready(self) -> None:
         """Report that the backend is up."""
 
--- a/marlstep/platform/kernel.py
+++ b/marlstep/platform/kernel.py
@@ -9,6 +9,7 @@
 
 import logging
 from collections.abc import Callable, Sequence
+from datetime import timedelta
 
 from marlstep.core.interfaces import EventSink, Request
 from marlstep.net.backoff import Backoff
@@ -270,12 +271,20 @@
     def _kernel_started(self, notice: KernelStarted) -> None:
         log.info("kernel up: state=%s age_ms=%s", notice.state, notice.age_ms)
         self._backoff.reset()
+        self._sink().backend_started(self._kernel_age(notice), notice.is_cold)
         self._sink().backend_ready()
         if self._connection is not None:
             self._connection.started = True
             # The kernel sends the unread notices before its response to this request.
             self._connection.send(kernel_wire.encode_gauges_request(SYNC_TAG))
 
+    def _kernel_age(self, notice: KernelStarted) -> timedelta:
+        """Return how long ago the kernel started; zero, with which its warm-up begins now, if that is unreadable."""
+        age = kernel_wire.parse_elapsed(notice.age_ms)
+        if age is None:
+            log.warning("kernel age unreadable: age_ms=%r", notice.age_ms[: kernel_wire.MAX_SHOWN_CHARACTERS])
+        return age or ZERO
+
     def _gauges_received(self, tag: str, readings: list[str]) -> None:
         if tag == SYNC_TAG and not self._synced:
             self._synced = True
--- a/marlstep/platform/kernel_wire.py
+++ b/marlstep/platform/kernel_wire.py
@@ -14,7 +14,7 @@
 from marlstep.units import MILLISECOND, ZERO
 
 BODY_LIMIT = 64 * 1024  # bytes; the protocol specifies 4 KiB for results
-MAX_ELAPSED_MS = 1e9  # longer run times are clamped to this
+MAX_ELAPSED_MS = 1e9  # longer durations are clamped to this
 MAX_SHOWN_CHARACTERS = 32  # of an invalid word, in error messages
 # Number of words in the line of each notice that has a body; the last word is the length of the body in bytes.
 WORDS_BEFORE_BODY = {"REAP": 6, "IOREQ": 4}
@@ -29,6 +29,8 @@
 REQUEST_GAUGES = "SYSINFO"
 OPEN_CONNECTION = "OPEN"
 
+COLD_STATE = "chilly"  # of a kernel that starts with a part of its speed
+
 RUN_OUTCOMES = {
     "complete": Outcome.OK,
     "error": Outcome.ERROR,
@@ -75,8 +77,13 @@
 class KernelStarted:
     """The kernel's response to `OPEN_CONNECTION`."""
 
-    state: str
-    age_ms: str  # not parsed, as it is only logged
+    state: str  # at the start of the kernel
+    age_ms: str  # milliseconds since the start of the kernel; parsed by `parse_elapsed`
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether the kernel started with a part of its speed."""
+        return self.state == COLD_STATE
 
 
 @dataclass(slots=True)
@@ -182,9 +189,9 @@
 
 
 def parse_elapsed(text: str) -> timedelta | None:
-    """Parse a run time in milliseconds, clamped to 0 to MAX_ELAPSED_MS; None if the text is not a number.
+    """Parse a duration in milliseconds, clamped to 0 to MAX_ELAPSED_MS; None if the text is not a number.
 
-    The run time is only informational, so a notice is not rejected if it cannot be parsed.
+    A notice is not rejected if its duration cannot be parsed.
     """
     try:
         return max(ZERO, min(float(text), MAX_ELAPSED_MS) * MILLISECOND)
--- a/tests/platform/test_kernel.py
+++ b/tests/platform/test_kernel.py
@@ -1,13 +1,14 @@
 """The kernel client applies each notice once, resends commands after a reconnect, and never gets stuck on a notice."""
 
 import dataclasses
+from datetime import timedelta
 
 import pytest
 
 from marlstep.admission.events import Outcome
 from marlstep.core.interfaces import Request
 from marlstep.platform.kernel import KernelClient
-from marlstep.units import MILLISECOND
+from marlstep.units import MILLISECOND, SECOND, ZERO
 from tests.support.node import CoreDriver, FakeTransport, ManualClock, ManualDialer, RecordingSink
 
 OLD_ADDRESS, NEW_ADDRESS = ("127.0.0.1", 1), ("127.0.0.1", 2)
@@ -35,6 +36,30 @@
     assert not connection.closed
 
 
+@pytest.mark.parametrize(
+    ("notice", "start"),
+    [
+        (b"BOOTED chilly 0\r\n", (ZERO, True)),
+        (b"BOOTED chilly 2500.5\r\n", (2500.5 * MILLISECOND, True)),
+        (b"BOOTED hot 17000\r\n", (17 * SECOND, False)),
+        (b"BOOTED hot -4\r\n", (ZERO, False)),
+        (b"BOOTED chilly long\r\n", (ZERO, True)),
+    ],
+)
+def test_the_start_of_the_kernel_is_reported_on_each_connection(
+    notice: bytes, start: tuple[timedelta, bool]
+) -> None:
+    # Guards against a warm-up that is not counted from the start of the kernel, which may come up late or start again.
+    harness = Harness()
+    first = harness.connect()
+    first.feed(notice)
+    assert harness.sink.starts == [start]
+    first.close()
+    harness.clock.advance(100)
+    harness.connect().feed(notice)
+    assert harness.sink.starts == [start, start]
+
+
 def request_with_id(request_id: str) -> Request:
     driver = CoreDriver()
     driver.submit(1)
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -257,6 +257,10 @@
 
     def __init__(self) -> None:
         self.events: list[tuple[Any, ...]] = []
+        self.starts: list[tuple[timedelta, bool]] = []  # reports of the backend's start
+
+    def backend_started(self, age: timedelta, is_cold: bool) -> None:
+        self.starts.append((age, is_cold))
 
     def backend_ready(self) -> None:
         pass
