--- a/benchmarks/kept_results.py
+++ b/benchmarks/kept_results.py
@@ -13,19 +13,15 @@
 import argparse
 import asyncio
 import json
-import os
 import re
 import secrets
-import socket
-import sys
-import tempfile
 import time
 from collections import Counter
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).parents[1]
-HOST = "127.0.0.1"
+from benchmarks.node_process import HOST, ROOT, Kernel, free_port, started_node
+
 REQUEST_CLASS = "deposit"
 WINDOW_US = 23_547_000  # the longest of the known deployments
 KERNEL_MEMORY_KB = 10_000_000.0  # enough that the controller rejects nothing for lack of it
@@ -40,51 +36,6 @@
 LAST_ANSWERS_S = 2.0
 
 
-class Kernel(asyncio.Protocol):
-    """A kernel that completes each run at once with a result of a fixed size."""
-
-    def __init__(self, result_size: int, starts: Counter[bytes]) -> None:
-        """Initialize the kernel; `starts` counts the runs by body."""
-        self._result_size, self._starts = result_size, starts
-        self._input = b""
-        self._notices = 0
-        self._transport: asyncio.Transport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport for the answers."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        """Handle all complete commands."""
-        self._input += data
-        while b"\r\n" in self._input:
-            line, rest = self._input.split(b"\r\n", 1)
-            words = line.split()
-            length = int(words[-1]) + 2 if words[0] == b"SCHED" else 0
-            if len(rest) < length:
-                return
-            self._input = rest[length:]
-            self._handle(words, rest[: max(0, length - 2)])
-
-    def _handle(self, words: list[bytes], body: bytes) -> None:
-        match words:
-            case [b"OPEN", _]:
-                self._send(b"BOOTED hot 1000\r\n")
-            case [b"SYSINFO", tag]:
-                self._send(b"INFO %s 0.1 1 0.1 10\r\n" % tag)
-            case [b"SCHED", run_id, _, _]:
-                self._starts[body] += 1
-                self._notices += 1
-                result = os.urandom(self._result_size // 2).hex().encode()
-                head = b"REAP %d %s complete 1 %d\r\n" % (self._notices, run_id, len(result))
-                self._send(head + result + b"\r\n")
-
-    def _send(self, data: bytes) -> None:
-        if self._transport is not None:
-            self._transport.write(data)
-
-
 class FrontEnd(asyncio.Protocol):
     """A connection of a front end, which counts the words of the answers."""
 
@@ -144,18 +95,6 @@
     return config
 
 
-def anonymous_mb(pid: int) -> float:
-    """Return the anonymous memory of a process in MB."""
-    status = Path(f"/proc/{pid}/status").read_text("ascii")
-    return round(int(status.partition("RssAnon:")[2].split()[0]) / 1024, 1)
-
-
-def free_port() -> int:
-    """Return a port that nobody listens on."""
-    with socket.create_server((HOST, 0)) as server:
-        return int(server.getsockname()[1])
-
-
 async def connect(port: int, answers: Counter[str], repeat_answers: Counter[str]) -> list[FrontEnd]:
     """Open the connections of the front ends, once the node accepts them."""
     loop, deadline = asyncio.get_running_loop(), time.monotonic() + START_LIMIT_S
@@ -183,31 +122,18 @@
     loop = asyncio.get_running_loop()
     kernel = await loop.create_server(lambda: Kernel(result_size, starts), HOST, 0)
     port = free_port()
-    with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "config.json"
-        config = node_config(port, kernel.sockets[0].getsockname()[1], memory_mb)
-        path.write_text(json.dumps(config), "utf-8")
-        with (Path(folder) / "log").open("wb") as log_file:
-            node = await asyncio.create_subprocess_exec(
-                sys.executable,
-                *("-B", "-m", "marlstep"),
-                cwd=checkout,
-                env={**os.environ, "PROXY_CONFIG": str(path)},
-                stdout=log_file,
-                stderr=log_file,
-            )
-        try:
+    config = node_config(port, kernel.sockets[0].getsockname()[1], memory_mb)
+    try:
+        async with started_node(checkout, config) as node:
             connections = await connect(port, answers, repeat_answers)
             await asyncio.sleep(1.0)
-            memory = [anonymous_mb(node.pid)]
+            memory = [node.anonymous_mb]
             for quarter in range(QUARTERS):
                 await send_requests(connections, rate_per_s, seconds / QUARTERS, quarter)
-                memory.append(anonymous_mb(node.pid))
+                memory.append(node.anonymous_mb)
             await asyncio.sleep(LAST_ANSWERS_S)
-        finally:
-            node.kill()
-            await node.wait()
-            kernel.close()
+    finally:
+        kernel.close()
     return {
         "memory_mb": memory_mb,
         "rate_per_s": rate_per_s,
