Read a connection once in an iteration of the event loop

Callers saw: beside one client that pipelines ALIVE on one connection, health checks of others took 112 ms in the median, 254 at the 99th percentile. Cause: libuv reads a socket up to 32 times in an iteration while each read fills its buffer; with rings of 4 KiB that is 128 KiB of frames at a time. Evidence: a stream that only counts its bytes took up to 134,387 in one iteration. Ruled out by it: responses, log, controller. Change: in RingStream, a read that fills its buffer pauses reading until the next iteration, and no read takes more than 16 KiB. All TCP connections have this base.

--- a/benchmarks/client_floods.py
+++ b/benchmarks/client_floods.py
@@ -118,9 +118,9 @@
     rounds = 0
     while time.monotonic() < until:
         with ExitStack() as stack:
-            for _ in range(count):
+            connections = [stack.enter_context(connected(port)) for _ in range(count)]
+            for connection in connections:
                 try:
-                    connection = stack.enter_context(connected(port))
                     connection.sendall(message)
                 except OSError:
                     continue
@@ -165,7 +165,7 @@
 def short_variables() -> bytes:
     """Return a packet with as many short variables as fit, and half of its body."""
     variables = [(b"CONTENT_LENGTH", b"%d" % MAX_BODY_BYTES)]
-    variables += [(b"%04x" % number, b"") for number in range((MAX_VARIABLES_BYTES - 32) // 8)]
+    variables += [(number.to_bytes(2, "big"), b"") for number in range((MAX_VARIABLES_BYTES - 32) // 6)]
     return packet(variables, b"x" * (MAX_BODY_BYTES // 2))
 
 
@@ -252,22 +252,23 @@
 
 
 async def probe(port: int, observed: Observation) -> None:
-    """Send health checks on one connection, and reconnect if it closes."""
+    """Send health checks on one connection, and open another once the node announces to close it."""
     reader, writer = await asyncio.open_connection(HOST, port)
     for tag in itertools.count(1):
-        if writer.is_closing():
-            reader, writer = await asyncio.open_connection(HOST, port)
         sent_at = time.monotonic()
         writer.write(frame(b"ALIVE", b"%d" % tag))
         try:
             async with asyncio.timeout(10.0):
-                await reader.readuntil(b"healthy")
-                await reader.readuntil(b"$0\r\n\r\n")
+                answer = await reader.readuntil(b"healthy\r\n")
+                await reader.readuntil(b"\r\n$0\r\n\r\n")
+            observed.latencies_ms.append((time.monotonic() - sent_at) * 1000)
+            is_closing = b"closing" in answer
         except (TimeoutError, OSError, EOFError):
             observed.unanswered += 1
+            is_closing = True
+        if is_closing:
             writer.close()
-        else:
-            observed.latencies_ms.append((time.monotonic() - sent_at) * 1000)
+            reader, writer = await asyncio.open_connection(HOST, port)
         await asyncio.sleep(PROBE_INTERVAL_S)
 
 
--- a/marlstep/net/stream.py
+++ b/marlstep/net/stream.py
@@ -3,6 +3,9 @@
 Input is read into the inbox without a copy. Output is written to the loop's transport as long as the peer reads; uvloop
 sends all writes of one loop iteration together. While the peer does not read, output is queued in the outbox, and in an
 overflow queue once the outbox is full. Nothing is read from the peer until the overflow queue is empty (backpressure).
+
+A connection reads at most once in an iteration of the event loop, so that a peer that sends without a pause does not
+delay the others. The system's loop would read from it again and again as long as each read fills its buffer.
 """
 
 from __future__ import annotations
@@ -11,11 +14,13 @@
 import logging
 import select
 from collections import deque
+from collections.abc import Callable
 from typing import cast
 
 from marlstep.net.ring import Ring
 
 log = logging.getLogger(__name__)
+MAX_READ_BYTES = 16 * 1024  # in one iteration of the event loop
 WRITE_BUFFER_LIMIT = 16 * 1024  # bytes in asyncio's transport, above which writing is paused
 
 
@@ -38,6 +43,8 @@
         self._transport: asyncio.Transport | None = None
         self._writable = True
         self._reading = True
+        self._read_limit = 0  # size of the buffer that asyncio reads into, in bytes
+        self._yields = False  # reads no more in this iteration of the event loop
         self._finishing = False
         self.at_eof = False  # the peer has ended its stream
         self.peer_port = 0  # 0 if unknown
@@ -119,12 +126,12 @@
             transport.close()
 
     def _update_reading(self) -> None:
-        """Pause or resume reading: it requires space in the inbox and an empty overflow queue."""
+        """Pause or resume reading: it requires space in the inbox, an empty overflow queue, and this one's turn."""
         transport = self._transport
         if transport is None or transport.is_closing():
             return
         has_space = self.inbox.used < self.inbox.size
-        should_read = has_space and not self._finishing and not self._overflow
+        should_read = has_space and not self._finishing and not self._overflow and not self._yields
         if should_read and not self._reading:
             transport.resume_reading()
         elif not should_read and self._reading:
@@ -142,13 +149,29 @@
 
     def get_buffer(self, _sizehint: int) -> memoryview:
         """Return the buffer for asyncio to read into. Reading is paused while the inbox is full."""
-        return self.inbox.space()
+        buffer = self.inbox.space()[:MAX_READ_BYTES]
+        self._read_limit = len(buffer)
+        return buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle data that asyncio has read into the buffer."""
         self.inbox.commit_write(nbytes)
+        if nbytes >= self._read_limit:  # the peer may have sent more, which would be read at once
+            self._yield_to_others()
         self._handle_data()
 
+    def _yield_to_others(self) -> None:
+        self._yields = True
+        self.run_soon(self._end_yield)
+
+    def _end_yield(self) -> None:
+        self._yields = False
+        self._update_reading()
+
+    def run_soon(self, callback: Callable[[], None]) -> None:
+        """Run a callback in the next iteration of the event loop."""
+        asyncio.get_running_loop().call_soon(callback)
+
     def eof_received(self) -> bool:
         """Handle the end of the peer's stream."""
         self.at_eof = True
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -206,18 +206,29 @@
         self.written = bytearray()
         self.closed = False
         self.paused = False
+        self._next_iteration: list[Callable[[], None]] = []  # callbacks
+        stream.run_soon = self._next_iteration.append  # type: ignore[assignment,method-assign]
         stream.connection_made(cast(asyncio.BaseTransport, self))
 
     def feed(self, data: bytes, step: int = 1 << 16) -> None:
         for offset in range(0, len(data), step):
             chunk = data[offset : offset + step]
-            while chunk and not self.closed and not self.paused:
+            while chunk and not self.closed and self._can_read():
                 buffer = self.stream.get_buffer(-1)
                 copied = min(len(buffer), len(chunk))
                 buffer[:copied] = chunk[:copied]
                 self.stream.buffer_updated(copied)
                 chunk = chunk[copied:]
 
+    def _can_read(self) -> bool:
+        """Begin the next iteration of the event loop if the stream waits for it; False if it is paused even then."""
+        if self.paused:
+            callbacks = self._next_iteration[:]
+            self._next_iteration.clear()
+            for callback in callbacks:
+                callback()
+        return not self.paused
+
     def take(self) -> bytes:
         """Return the bytes written since the last call."""
         data = bytes(self.written)
