--- a/marlstep/frontends/resp_tags.py
+++ b/marlstep/frontends/resp_tags.py
@@ -22,6 +22,9 @@
 
     def mark_used(self, tag: int) -> bool:
         """Mark a tag as used; False if it is remembered as used."""
+        if self._ends and tag == self._ends[-1] + 1:  # tags in order, the usual case
+            self._ends[-1] = tag
+            return True
         index = bisect_right(self._starts, tag)  # of the first range beyond the tag
         if index and tag <= self._ends[index - 1]:
             return False
--- a/marlstep/net/stream.py
+++ b/marlstep/net/stream.py
@@ -4,8 +4,8 @@
 sends all writes of one loop iteration together. While the peer does not read, output is queued in the outbox, and in an
 overflow queue once the outbox is full. Nothing is read from the peer until the overflow queue is empty (backpressure).
 
-A connection reads at most once in an iteration of the event loop, so that a peer that sends without a pause does not
-delay the others. The system's loop would read from it again and again as long as each read fills its buffer.
+A connection reads a limited number of bytes in an iteration of the event loop, so that a peer that sends without a
+pause does not delay the others. The loop itself would read from it again as long as each read fills its buffer.
 """
 
 from __future__ import annotations
@@ -44,7 +44,8 @@
         self._writable = True
         self._reading = True
         self._read_limit = 0  # size of the buffer that asyncio reads into, in bytes
-        self._yields = False  # reads no more in this iteration of the event loop
+        self._read_bytes = 0  # in this iteration of the event loop, if any read in it has filled its buffer
+        self._yields = False  # reads no more in this iteration
         self._finishing = False
         self.at_eof = False  # the peer has ended its stream
         self.peer_port = 0  # 0 if unknown
@@ -164,24 +165,31 @@
 
     def get_buffer(self, _sizehint: int) -> memoryview:
         """Return the buffer for asyncio to read into. Reading is paused while the inbox is full."""
-        buffer = self.inbox.space()[:MAX_READ_BYTES]
+        buffer = self.inbox.space()[: MAX_READ_BYTES - self._read_bytes]
         self._read_limit = len(buffer)
         return buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle data that asyncio has read into the buffer."""
         self.inbox.commit_write(nbytes)
-        if nbytes >= self._read_limit:  # the peer may have sent more, which would be read at once
-            self._yield_to_others()
+        if (
+            nbytes >= self._read_limit
+        ):  # the peer may have sent more, which the loop reads in the same iteration
+            self._count_read(nbytes)
         self.handle_input()
 
-    def _yield_to_others(self) -> None:
-        self._yields = True
-        self.run_soon(self._end_yield)
-
-    def _end_yield(self) -> None:
-        self._yields = False
-        self._update_reading()
+    def _count_read(self, nbytes: int) -> None:
+        """Count bytes read in this iteration of the event loop, and read no more in it once the limit is reached."""
+        if not self._read_bytes:
+            self.run_soon(self._begin_iteration)
+        self._read_bytes += nbytes
+        self._yields = self._read_bytes >= MAX_READ_BYTES
+
+    def _begin_iteration(self) -> None:
+        self._read_bytes = 0
+        if self._yields:
+            self._yields = False
+            self._update_reading()
 
     def run_soon(self, callback: Callable[[], None]) -> None:
         """Run a callback in the next iteration of the event loop."""
