Bound the memory of uwsgi packets by a part of the node's

Callers saw: beside 200 gateways with 64 KiB of variables and half of their bodies, a process with memory_mb 32 took 61 MB, for which it is killed. Cause: nothing counted the variables, the growth of buffers or the process itself; and with a first budget refused packets stayed until the collector ran, as the reader held a method of its connection. Evidence: the peak follows the number of connections, 160 KB each; the log named the packets as refused while the memory stayed. Change: a packet reserves what it declares out of a quarter of the working memory; stalled ones make room, else the new one gets 503 with Retry-After. Buffers are freed with their connection.

--- a/marlstep/components/base.py
+++ b/marlstep/components/base.py
@@ -84,6 +84,9 @@
     def reconfigure(self, config: Config, /) -> None:
         """Apply a changed configuration, which is already in force."""
 
+    def limit_memory(self, config: Config, processes: int, /) -> None:
+        """Limit the memory of this component to its part in one of `processes` processes of the node."""
+
     def drain(self) -> None:
         """Start to drain, with or without a successor that serves."""
 
--- a/marlstep/components/uwsgi.py
+++ b/marlstep/components/uwsgi.py
@@ -10,6 +10,7 @@
 from marlstep.config import Config, ConfigError, UwsgiConfig
 from marlstep.frontends.uwsgi import UwsgiFrontend
 from marlstep.load_balancing.pool_config import pool_for
+from marlstep.resource_budget import packet_memory_budget
 from marlstep.upstreams.upstream import PoolChangeError, Upstream
 
 if TYPE_CHECKING:
@@ -58,6 +59,7 @@
             config.mapping,
             config.max_body_bytes,
             partial(pool_for, config.pools),
+            packet_memory_budget(host.config, processes=1),
         )
 
     async def open(self, config: Config, reuse_address: bool, /) -> None:
@@ -86,6 +88,10 @@
             self.frontend.pool_of = partial(pool_for, config.uwsgi.pools)
             self.frontend.mapping = config.uwsgi.mapping
 
+    def limit_memory(self, config: Config, processes: int, /) -> None:
+        """Limit the memory of packets."""
+        self.frontend.packet_memory.limit_bytes = packet_memory_budget(config, processes)
+
     def stop(self) -> None:
         """Close the connections to servers."""
         self.upstream.close()
@@ -98,8 +104,11 @@
         }
 
     def metrics(self) -> dict[str, float]:
-        """Return the number of connections."""
-        return {"uwsgi_connections": len(self.frontend.connections)}
+        """Return the number of connections, and the bytes reserved for their packets."""
+        return {
+            "uwsgi_connections": len(self.frontend.connections),
+            "uwsgi_packet_bytes": self.frontend.packet_memory.reserved_bytes,
+        }
 
 
 def make(host: NodeServices, max_connections: int) -> UwsgiComponent:
--- a/marlstep/frontends/base.py
+++ b/marlstep/frontends/base.py
@@ -275,7 +275,7 @@
         if oldest is not None and self._evicts_unproven(oldest):
             candidate = connection_policy.eviction_candidate(connections.unproven())
             if candidate is not None and self._evicts_unproven(candidate):
-                self._evict(candidate)
+                self.evict(candidate)
         self._make_room_in_shrunk_table()
 
     def _evicts_unproven(self, connection: Connection) -> bool:
@@ -297,9 +297,9 @@
             candidate = connection_policy.eviction_candidate(connections.unproven())
             if candidate is None:
                 return
-            self._evict(candidate)
+            self.evict(candidate)
 
-    def _evict(self, connection: Connection) -> None:
+    def evict(self, connection: Connection) -> None:
         """Abort an unproven connection. Its slot is free at once, and not only when the event loop has closed it."""
         connection.end_for(ConnectionEnd.EVICTED)
         self.connections.remove(connection)
--- a/marlstep/frontends/connection_end.py
+++ b/marlstep/frontends/connection_end.py
@@ -11,6 +11,7 @@
     PEER = "peer"  # the peer closed or reset it, or its response was the last
     TABLE_FULL = "table_full"  # no slot was free
     EVICTED = "evicted"  # unproven, and its slot was needed
+    NO_MEMORY = "no_memory"  # for its packet
     IDLE = "idle"  # idle for too long, or its slot was needed
     DRAINING = "draining"  # the frontend stopped accepting
     FRAME_TIMEOUT = "frame_timeout"  # a frame was not complete in time
--- a/marlstep/frontends/uwsgi.py
+++ b/marlstep/frontends/uwsgi.py
@@ -12,11 +12,13 @@
 
 from marlstep.core.engine import Core
 from marlstep.core.errors import RepeatedWorkError, RequestRejectedError
-from marlstep.core.interfaces import Backend, InboundRequest, Response
+from marlstep.core.interfaces import Backend, InboundRequest, Response, ResponseStatus
 from marlstep.frontends import uwsgi_policy
 from marlstep.frontends.base import RequestConnection, RequestListener
 from marlstep.frontends.connection_end import ConnectionEnd
 from marlstep.frontends.errors import InvalidPacketError
+from marlstep.frontends.packet_memory import PacketMemory
+from marlstep.frontends.rejection_log import RejectionLog
 from marlstep.frontends.scan_turns import ScanTurns
 from marlstep.frontends.uwsgi_mapping import UwsgiMapping
 from marlstep.frontends.uwsgi_requests import http_response, read_request, variables_of_requests
@@ -27,6 +29,7 @@
 log = logging.getLogger(__name__)
 
 RING_SIZE = 16 * 1024  # bytes
+DEFAULT_PACKET_MEMORY = 16 << 20  # bytes
 ONLY_REQUEST = 1  # request number; each connection has only one request
 
 
@@ -37,14 +40,14 @@
         """Create a connection that has not been opened yet."""
         super().__init__(frontend, RING_SIZE)
         self.frontend = frontend
-        self._packets = PacketReader(frontend.body_limit, frontend.variable_names, self._may_scan)
+        self._packets = PacketReader(frontend.body_limit, frontend.variable_names)
         self._packet_done = False  # the packet is complete, or rejected
 
     def data_received(self) -> None:
         """Submit the request once its packet is complete, and discard all input after the packet."""
         if not self._packet_done:
             try:
-                packet = self._packets.next(self.inbox)
+                packet = self._packets.next(self.inbox, self._may_scan)
             except InvalidPacketError as error:
                 self._reject(error.status, str(error))
             else:
@@ -70,18 +73,27 @@
         self.handle_input()
 
     def closed(self) -> None:
-        """Leave the queue for a scan, and free the slot."""
+        """Leave the queue for a scan, release the packet's memory, and free the slot."""
         self.frontend.scan_turns.leave(self)
+        self.release_packet()
         super().closed()
 
+    def release_packet(self) -> None:
+        """Free the memory of an incomplete packet, and its reservation."""
+        self._packets.discard()
+        self.frontend.packet_memory.release(self)
+
     def _handle(self, packet: Packet | None) -> None:
         if packet is not None:
             self._packet_done = True
+            self.frontend.packet_memory.mark_complete(self)
             self.frontend.connections.mark_proven(self)
             self.stop_progress_timer()
             self._submit(packet)
         elif self.at_eof and not self.frontend.scan_turns.is_waiting(self):
             self.finish()  # the client ended its stream within the packet, so there is no request to respond to
+        elif not self.frontend.reserve_memory(self, self._packets.declared_bytes):
+            self._refuse_for_memory()
 
     def _submit(self, packet: Packet) -> None:
         """Submit the request, or respond with the status of its rejection.
@@ -102,9 +114,19 @@
     def _reject(self, status: int, reason: str) -> None:
         log.warning("request rejected: frontend=uwsgi status=%d reason=%s", status, reason)
         self._packet_done = True
+        self._packets.discard()
         self.end_for(ConnectionEnd.MALFORMED)
         self._respond(write_response(status, {}, reason))
 
+    def _refuse_for_memory(self) -> None:
+        """Respond before the packet is complete, as there is no memory for the rest of it."""
+        self.frontend.log_rejection("packet refused", f"no memory for {self._packets.declared_bytes} bytes")
+        self._packet_done = True
+        self.release_packet()
+        self.end_for(ConnectionEnd.NO_MEMORY)
+        rejection = Response(ResponseStatus.REJECTED, retry_after=self.frontend.max_retry_after)
+        self._respond(http_response(rejection, self.frontend.max_retry_after))
+
     def _respond(self, response: bytes) -> None:
         self.send(response)
         self.finish()
@@ -144,6 +166,7 @@
         mapping: UwsgiMapping,
         body_limit: int,
         pool_of: Callable[[str], str] = no_pool,
+        packet_memory_bytes: int = DEFAULT_PACKET_MEMORY,
     ) -> None:
         """Create a frontend that does not listen yet.
 
@@ -156,12 +179,15 @@
             mapping: which variables carry which fields of a request.
             body_limit: maximum size of a body in bytes; a packet with a larger one gets 413.
             pool_of: returns the name of the upstream pool for a class.
+            packet_memory_bytes: memory of all packets that are read or run at a time.
         """
         super().__init__(core, timeline, backend, limit, read_timeout)
         self.pool_of = pool_of
         self.mapping = mapping
         self.body_limit = body_limit
         self.scan_turns = ScanTurns(timeline.soon)
+        self.packet_memory: PacketMemory[UwsgiConnection] = PacketMemory(packet_memory_bytes)
+        self._rejection_log = RejectionLog(timeline.now())
         self._request_count = 0
 
     def make(self) -> UwsgiConnection:
@@ -176,6 +202,22 @@
         """The longest Retry-After that callers respect."""
         return span(self.core.settings.max_retry_after_us)
 
+    def reserve_memory(self, connection: UwsgiConnection, packet_bytes: int) -> bool:
+        """Reserve memory for a packet, and close connections that stall for it; False if there is none."""
+        memory, now = self.packet_memory, self.timeline.now()
+        memory.reserve(connection, packet_bytes, now)
+        while memory.is_exceeded:
+            evicted = memory.holder_to_evict(now)
+            if evicted is None or evicted is connection:
+                return False
+            evicted.release_packet()
+            self.evict(evicted)
+        return True
+
+    def log_rejection(self, event: str, reason: str) -> None:
+        """Log a rejection, rate-limited by `RejectionLog`."""
+        self._rejection_log.write(event, reason, self.timeline.now())
+
     def variable_names(self) -> Collection[str]:
         """Return the names of the variables that requests are read from, by the mapping in force."""
         return variables_of_requests(self.mapping)
--- a/marlstep/frontends/uwsgi_wire.py
+++ b/marlstep/frontends/uwsgi_wire.py
@@ -23,7 +23,6 @@
 HEADER_BYTES = 4  # before the block of variables
 SIZE_AT = slice(1, 3)  # of the header: the size of the block of variables
 SIZE_BYTES = 2  # bytes of the size before each name and value
-MAX_VARIABLES_BYTES = (1 << 16) - 1  # the largest size of the block of variables
 BODY_SIZE_VARIABLE = "CONTENT_LENGTH"
 MAX_CONTENT_LENGTH_DIGITS = 15
 UNKNOWN = -1
@@ -109,37 +108,43 @@
     when parsed.
     """
 
-    def __init__(
-        self,
-        body_limit: int,
-        names: Callable[[], Collection[str]] | None = None,
-        may_scan: Callable[[int], bool] = lambda _size: True,
-    ) -> None:
+    def __init__(self, body_limit: int, names: Callable[[], Collection[str]] | None = None) -> None:
         """Initialize the reader at the start of a packet.
 
         Args:
             body_limit: maximum size of a body in bytes.
             names: returns the variables that a packet is to have once it is complete; None for all.
-            may_scan: returns whether a block of variables of a size in bytes may be scanned now. If not, `next` returns
-                None, and asks again in the next call.
         """
         self._body_limit = body_limit
         self._names = names
-        self._may_scan = may_scan
         self._raw = bytearray()
         self._variables_end = UNKNOWN  # of the packet, in bytes; the body begins there
         self._body_size = UNKNOWN
         self._found_names: Collection[str] | None = None
         self._found: dict[str, slice] = {}  # the values of variables with these names, in their block
 
+    @property
+    def declared_bytes(self) -> int:
+        """The size of the packet as far as it has declared it; 0 before its header is complete."""
+        return max(self._variables_end, 0) + max(self._body_size, 0)
+
     @property
     def inside_packet(self) -> bool:
         """Whether a part of a packet has been read."""
         return bool(self._raw)
 
-    def next(self, ring: Ring) -> Packet | None:
+    def discard(self) -> None:
+        """Free the memory of an incomplete packet."""
+        self._raw, self._found = bytearray(), {}
+
+    def next(self, ring: Ring, may_scan: Callable[[int], bool] = lambda _size: True) -> Packet | None:
         """Return the next packet; None until it is complete.
 
+        Args:
+            ring: the input.
+            may_scan: returns whether a block of variables of a size in bytes may be scanned now. If not, the packet
+                waits for the next call.
+
         Raises:
             InvalidPacketError: the packet is malformed, or its body is larger than the limit.
         """
@@ -148,7 +153,7 @@
                 return None
             self._variables_end = HEADER_BYTES + self._variables_size()
         if self._body_size == UNKNOWN:
-            if not self._fill(ring, self._variables_end) or not self._may_scan(self._variables_end):
+            if not self._fill(ring, self._variables_end) or not may_scan(self._variables_end):
                 return None
             self._body_size = self._read_body_size()
         if not self._fill(ring, self._variables_end + self._body_size):
--- a/marlstep/node.py
+++ b/marlstep/node.py
@@ -210,6 +210,8 @@
         processes = 1 if capacity_share >= 1 else 2
         budget = resource_budget(self.config, processes)
         self.core.limit_key_memory(key_memory_budget(self.config, processes))
+        for component in self.components.values():
+            component.limit_memory(self.config, processes)
         self.core.set_capacity_share(capacity_share, max(1, int(capacity_share * budget.requests)))
         self.resp.connections.capacity = max(MIN_CONNECTIONS, int(capacity_share * budget.connections))
 
--- /dev/null
+++ b/tests/frontends/test_packet_memory.py
@@ -0,0 +1,67 @@
+"""Which connections make room when the memory of uwsgi packets is used up."""
+
+from __future__ import annotations
+
+import random
+
+from marlstep.frontends.packet_memory import MIN_STALL, PacketMemory
+from marlstep.units import MILLISECOND
+from tests.support.node import START
+
+SIZE = 1_000
+
+
+def test_a_reservation_replaces_the_earlier_one_and_ends_with_its_connection() -> None:
+    memory: PacketMemory[str] = PacketMemory(SIZE)
+    memory.reserve("a", SIZE // 2, START)
+    memory.reserve("a", SIZE, START)
+    assert memory.reserved_bytes == SIZE and not memory.is_exceeded
+    memory.reserve("b", 1, START)
+    assert memory.is_exceeded
+    memory.release("a")
+    memory.release("a")
+    assert memory.reserved_bytes == 1
+
+
+def test_the_connection_without_input_for_longest_makes_room() -> None:
+    memory: PacketMemory[str] = PacketMemory(SIZE)
+    for name in ("slow", "stalled", "later"):
+        memory.reserve(name, SIZE, START)
+    memory.reserve("slow", SIZE, START + 90 * MILLISECOND)
+    memory.reserve("later", SIZE, START + 20 * MILLISECOND)
+    assert memory.holder_to_evict(START + MIN_STALL - MILLISECOND) is None
+    assert memory.holder_to_evict(START + MIN_STALL) == "stalled"
+
+
+def test_where_all_send_the_one_that_is_read_for_longest_makes_room() -> None:
+    memory: PacketMemory[str] = PacketMemory(SIZE)
+    memory.reserve("first", SIZE, START)
+    memory.reserve("second", SIZE, START + 50 * MILLISECOND)
+    for name in ("second", "first"):
+        memory.reserve(name, SIZE, START + 90 * MILLISECOND)
+    assert memory.holder_to_evict(START + 95 * MILLISECOND) is None
+    assert memory.holder_to_evict(START + 120 * MILLISECOND) == "first"
+
+
+def test_a_complete_packet_keeps_its_memory_and_is_never_closed_for_others() -> None:
+    memory: PacketMemory[str] = PacketMemory(SIZE)
+    memory.reserve("a", SIZE, START)
+    memory.mark_complete("a")
+    assert memory.holder_to_evict(START + 10 * MIN_STALL) is None and memory.reserved_bytes == SIZE
+
+
+def test_the_sum_of_reservations_is_exact_in_any_order_of_events() -> None:
+    source, memory = random.Random(7), PacketMemory[int](SIZE)
+    sizes: dict[int, int] = {}
+    for _ in range(2_000):
+        holder = source.randrange(20)
+        match source.randrange(3):
+            case 0:
+                sizes[holder] = size = source.randrange(5_000)
+                memory.reserve(holder, size, START)
+            case 1:
+                memory.mark_complete(holder)
+            case _:
+                sizes.pop(holder, None)
+                memory.release(holder)
+        assert memory.reserved_bytes == sum(sizes.values())
--- a/tests/frontends/test_uwsgi.py
+++ b/tests/frontends/test_uwsgi.py
@@ -265,3 +265,36 @@
     assert harness.frontend.connections.is_unproven(incomplete.stream)
     harness.node.clock.advance(2_100)
     assert incomplete.closed
+
+
+HALF_PACKET = write_packet(READ_VARIABLES | {"CONTENT_LENGTH": "100"}, b"x" * 50)
+
+
+def test_a_connection_that_stalls_makes_room_for_the_packet_of_another() -> None:
+    # Guards against a process that outgrows its memory with packets whose bodies do not come.
+    harness = UwsgiHarness()
+    harness.frontend.packet_memory.limit_bytes = 2 * (len(HALF_PACKET) + 50)
+    stalled, slow = harness.connect(), harness.connect()
+    stalled.feed(HALF_PACKET)
+    slow.feed(HALF_PACKET)
+    harness.node.clock.advance(150)
+    slow.feed(b"x")
+    new = harness.send(READ_VARIABLES | {"CONTENT_LENGTH": "100"}, b"x" * 100, step=50)
+    assert stalled.closed and not slow.closed and harness.node.core.in_flight == 1
+    slow.feed(b"x" * 49)
+    harness.node.clock.settle()
+    assert harness.node.core.in_flight == 2
+    for number in (1, 2):
+        harness.end_run(number=number)
+    assert status(new) == status(slow) == 200
+    assert harness.frontend.packet_memory.reserved_bytes == 0
+
+
+def test_a_packet_for_which_there_is_no_memory_gets_503_before_it_is_read() -> None:
+    harness = UwsgiHarness()
+    harness.frontend.packet_memory.limit_bytes = len(HALF_PACKET)
+    connection = harness.connect()
+    connection.feed(HALF_PACKET)
+    assert b"Retry-After: 1\r\n" in bytes(connection.written) and status(connection) == 503
+    harness.node.clock.settle()
+    assert harness.node.core.counts["read"] == 0 and harness.frontend.packet_memory.reserved_bytes == 0
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -255,6 +255,7 @@
     "marlstep/frontends/uwsgi_policy.py",
     "marlstep/frontends/resp_tags.py",
     "marlstep/frontends/resp_wire.py",
+    "marlstep/frontends/packet_memory.py",
     "marlstep/frontends/scan_turns.py",
     "marlstep/frontends/uwsgi_requests.py",
     "marlstep/frontends/uwsgi_wire.py",
