Limit the log lines of rejected uwsgi packets

Operators saw: one client with unsound packets for ever new tenants had a node write 1.7 MB of log in 5 s, a line for each of 13,030 packets. Cause: the line was written directly; RESP's go through RejectionLog. The same for connections that do not read their responses.

--- a/marlstep/frontends/base.py
+++ b/marlstep/frontends/base.py
@@ -106,7 +106,7 @@
         if not self.connected:
             return
         if self.send_blocked:
-            log.warning("connection aborted: reason=peer_does_not_read")
+            self.listener.log_end("connection aborted", "peer_does_not_read")
             self.end_for(ConnectionEnd.NOT_READ)
             self.abort()
         else:
@@ -312,11 +312,12 @@
         if connection.inbox.used or reason is ConnectionEnd.EVICTED:
             age_ms = whole_ms(self.timeline.now() - connection.opened_at)
             details = f"{reason.value} port={connection.peer_port} age_ms={age_ms}"
-            self._end_log.write(
-                "connection ended with its input unread",
-                f"{details} unread_bytes={connection.inbox.used}",
-                self.timeline.now(),
-            )
+            event = "connection ended with its input unread"
+            self.log_end(event, f"{details} unread_bytes={connection.inbox.used}")
+
+    def log_end(self, event: str, reason: str) -> None:
+        """Log the end of a connection, rate-limited by `RejectionLog`."""
+        self._end_log.write(event, reason, self.timeline.now())
 
     def mark_idle(self, connection: Connection) -> None:
         """Mark a connection as idle from now on, and schedule an idle sweep if none is due."""
--- a/marlstep/frontends/rejection_log.py
+++ b/marlstep/frontends/rejection_log.py
@@ -21,13 +21,20 @@
         self._period_start = now
         self._count_in_period = 0
 
-    def write(self, event: str, reason: str, now: datetime) -> None:
-        """Log a rejection, unless the limit of the current second is reached."""
+    def write(self, event: str, reason: str, now: datetime, details: str = "") -> None:
+        """Log a rejection, unless the limit of the current second is reached.
+
+        Args:
+            event: what was rejected.
+            reason: why; may contain input of the client.
+            now: the time.
+            details: fields to log before the reason, as `name=value`.
+        """
         if now - self._period_start >= PERIOD:
             self._begin_period(now)
         self._count_in_period += 1
         if self._count_in_period <= MAX_LINES_PER_SECOND:
-            log.warning("%s: reason=%s", event, reason)
+            log.warning("%s: %sreason=%s", event, details and f"{details} ", reason)
 
     def _begin_period(self, now: datetime) -> None:
         suppressed_count = self._count_in_period - MAX_LINES_PER_SECOND
--- a/marlstep/frontends/uwsgi.py
+++ b/marlstep/frontends/uwsgi.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable, Collection
 from datetime import timedelta
 
@@ -26,8 +25,6 @@
 from marlstep.timer_queue import TimerQueue
 from marlstep.units import span
 
-log = logging.getLogger(__name__)
-
 RING_SIZE = 16 * 1024  # bytes
 DEFAULT_PACKET_MEMORY = 16 << 20  # bytes
 ONLY_REQUEST = 1  # request number; each connection has only one request
@@ -112,7 +109,7 @@
             self._reject(error.status, str(error))
 
     def _reject(self, status: int, reason: str) -> None:
-        log.warning("request rejected: frontend=uwsgi status=%d reason=%s", status, reason)
+        self.frontend.log_rejection("request rejected", reason, f"frontend=uwsgi status={status}")
         self._packet_done = True
         self._packets.discard()
         self.end_for(ConnectionEnd.MALFORMED)
@@ -214,9 +211,9 @@
             self.evict(evicted)
         return True
 
-    def log_rejection(self, event: str, reason: str) -> None:
+    def log_rejection(self, event: str, reason: str, details: str = "") -> None:
         """Log a rejection, rate-limited by `RejectionLog`."""
-        self._rejection_log.write(event, reason, self.timeline.now())
+        self._rejection_log.write(event, reason, self.timeline.now(), details)
 
     def variable_names(self) -> Collection[str]:
         """Return the names of the variables that requests are read from, by the mapping in force."""
--- a/tests/frontends/test_uwsgi.py
+++ b/tests/frontends/test_uwsgi.py
@@ -3,6 +3,7 @@
 import pytest
 
 from marlstep.admission.events import Outcome
+from marlstep.frontends.rejection_log import MAX_LINES_PER_SECOND
 from marlstep.frontends.uwsgi import UwsgiConnection
 from marlstep.frontends.uwsgi_wire import write_packet
 from marlstep.units import SECOND
@@ -267,6 +268,16 @@
     assert incomplete.closed
 
 
+def test_only_some_of_the_rejections_of_a_second_are_logged(caplog: pytest.LogCaptureFixture) -> None:
+    # Guards against a log that grows without end with unsound packets, each of which wrote a line.
+    harness = UwsgiHarness()
+    for number in range(50):
+        harness.send({"X_CLASS": f"no-such-{number}"})
+    lines = [record.getMessage() for record in caplog.records]
+    assert len(lines) == MAX_LINES_PER_SECOND
+    assert all(line.startswith("request rejected: frontend=uwsgi status=400 reason=") for line in lines)
+
+
 HALF_PACKET = write_packet(READ_VARIABLES | {"CONTENT_LENGTH": "100"}, b"x" * 50)
 
 
