Start no request of a client that has reset its connection

Callers saw: of 30 requests that a client wrote before it reset its connection unread, the node started as many as it has cores, also work that must not run twice. Cause: a reset does not discard what a socket has received; the loop reads it to the end before it reports the reset. Evidence: 30 read, 3 started on 3 cores, then 30 gone; the poll of the socket reports the error before the first read. Change: a frontend asks for a reset before it handles input. Half-closed streams are served as before.

--- a/marlstep/frontends/base.py
+++ b/marlstep/frontends/base.py
@@ -71,6 +71,14 @@
             self.end_for(ConnectionEnd.TABLE_FULL)
             self.abort()
 
+    def handle_input(self) -> None:
+        """Handle the input, but not that of a client that has reset the connection and can get no response to it."""
+        if self.is_reset():
+            self.inbox.skip(self.inbox.used)
+            self.abort()
+        else:
+            super().handle_input()
+
     def handling_failed(self) -> None:
         """Record the error as the reason of the end."""
         self.end_for(ConnectionEnd.ERROR)
--- a/marlstep/net/stream.py
+++ b/marlstep/net/stream.py
@@ -46,6 +46,7 @@
         self._read_limit = 0  # size of the buffer that asyncio reads into, in bytes
         self._read_bytes = 0  # in this iteration of the event loop, if any read in it has filled its buffer
         self._yields = False  # reads no more in this iteration
+        self._poll: select.poll | None = None  # of the socket; made when it is first needed
         self._finishing = False
         self.at_eof = False  # the peer has ended its stream
         self.peer_port = 0  # 0 if unknown
@@ -83,12 +84,22 @@
 
     def has_unread_input(self) -> bool:
         """Return whether the socket holds bytes, or the end of the peer's stream, that were not read yet."""
-        connection = None if self._transport is None else self._transport.get_extra_info("socket")
-        if connection is None:
-            return False
-        poll = select.poll()
-        poll.register(connection.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return bool(self._poll_socket() & select.POLLIN)
+
+    def is_reset(self) -> bool:
+        """Return whether the peer has reset the connection, which the loop reports only after all input was read."""
+        return bool(self._poll_socket() & select.POLLERR)
+
+    def _poll_socket(self) -> int:
+        """Return the events of the socket; 0 if there is none."""
+        if self._poll is None:
+            connection = None if self._transport is None else self._transport.get_extra_info("socket")
+            if connection is None:
+                return 0
+            self._poll = select.poll()
+            self._poll.register(connection.fileno(), select.POLLIN)
+        events = self._poll.poll(0)
+        return events[0][1] if events else 0
 
     def send(self, data: bytes) -> None:
         """Send data, or queue it while the peer does not read. Ignored if the connection is closed."""
@@ -215,6 +226,6 @@
 
     def connection_lost(self, _exc: Exception | None) -> None:
         """Discard queued output and call `closed`."""
-        self._transport = None
+        self._transport = self._poll = None
         self._overflow.clear()
         self.closed()
