Run at-most-once work once under the id that its client chose

Callers saw: at-most-once work without an idempotency key ran again when its request came again under its id after the first run had ended, or at the other process of an upgrade. Cause: only a client's key identified such work; its id was forgotten with the request. Change: the id is the key of at-most-once work without one.

--- a/marlstep/core/arrivals.py
+++ b/marlstep/core/arrivals.py
@@ -55,7 +55,7 @@
         """
         inbound, now = request.inbound, self._timeline.now()
         request.stage = Stage.QUEUED
-        if request.idempotency_key:
+        if request.idempotency_key and inbound.idempotency_key:  # an id in flight needs no record
             arrived_at = effective_arrival_time(now, inbound.arrived_at)
             self._keys.record(request.idempotency_key, inbound.id, arrived_at, inbound.digest)
         self._events.post(
--- a/marlstep/core/intake.py
+++ b/marlstep/core/intake.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 
+from marlstep.admission.settings import ClassSettings
 from marlstep.core.arrivals import ControllerArrivals, effective_arrival_time
 from marlstep.core.counters import ACCEPTED_COUNT, NO_CONFIG_COUNT, NO_KEY_ROOM_COUNT, RequestCounters
 from marlstep.core.idempotency import KeyTable
@@ -15,6 +16,7 @@
 from marlstep.core.responses import ResponseDelivery
 from marlstep.core.served_settings import ServedSettings
 from marlstep.core.sibling_claims import SiblingClaims
+from marlstep.core.work_identity import IdempotencyKey
 from marlstep.timer_queue import TimerQueue
 from marlstep.units import EPOCH, SECOND, span
 
@@ -59,7 +61,7 @@
         now = self._timeline.now()
         class_settings = check_served(inbound, self._served, now)
         check_id_free(inbound, inbound.id in self._requests)
-        key = key_of(inbound, class_settings)
+        key = self._key_of(inbound, class_settings)
         prior = self._keys.find(key, effective_arrival_time(now, inbound.arrived_at)) if key else None
         check_repeat(inbound, class_settings, prior)
         request = Request(
@@ -82,7 +84,7 @@
             # Reject in a later iteration of the event loop, as the frontend doesn't have the handle yet.
             self._timeline.soon(lambda: self._reject_without_config(request))
             return request.handle
-        is_new_work = key is not None and prior is None
+        is_new_work = bool(inbound.idempotency_key) and key is not None and prior is None
         if is_new_work and not self._key_memory.has_room_for_key(len(self._keys)):
             self._timeline.soon(lambda: self._reject_without_key_room(request))
             return request.handle
@@ -90,6 +92,12 @@
             self._arrivals.enqueue(request, prior)
         return request.handle
 
+    def _key_of(self, inbound: InboundRequest, class_settings: ClassSettings) -> IdempotencyKey | None:
+        """Return the key of a request. An id does without one if there is no memory for it."""
+        key = key_of(inbound, class_settings)
+        is_key_of_id = key is not None and not inbound.idempotency_key
+        return None if is_key_of_id and not self._key_memory.has_room_for_key(len(self._keys)) else key
+
     def _reject_without_key_room(self, request: Request) -> None:
         """Reject new work whose key would not fit into memory. The controller never sees this request."""
         if not request.is_settled:
--- a/marlstep/core/intake_checks.py
+++ b/marlstep/core/intake_checks.py
@@ -14,6 +14,8 @@
 from marlstep.core.served_settings import ServedSettings
 from marlstep.core.work_identity import IdempotencyKey
 
+KEY_OF_ID_PREFIX = "id,"  # no key of a RESP client has a comma
+
 
 def check_served(inbound: InboundRequest, served: ServedSettings, now: datetime) -> ClassSettings:
     """Return the settings of the request's class if the node serves its class and its tenant.
@@ -44,10 +46,18 @@
 
 
 def key_of(inbound: InboundRequest, class_settings: ClassSettings) -> IdempotencyKey | None:
-    """Return the idempotency key of the work; None if the client gave none, or for idempotent work, which may rerun."""
-    if not inbound.idempotency_key or class_settings.effect is Effect.IDEMPOTENT:
+    """Return the key that identifies the work; None if nothing does, or for idempotent work, which may rerun.
+
+    It is the client's idempotency key. At-most-once work without one is identified by the id that its client chose: a
+    request that comes again under its id must not run again.
+    """
+    if class_settings.effect is Effect.IDEMPOTENT:
         return None
-    return IdempotencyKey(inbound.request_class, inbound.idempotency_key, inbound.key_scope)
+    if inbound.idempotency_key:
+        return IdempotencyKey(inbound.request_class, inbound.idempotency_key, inbound.key_scope)
+    if class_settings.effect is Effect.AT_MOST_ONCE and inbound.id_is_clients:
+        return IdempotencyKey(inbound.request_class, KEY_OF_ID_PREFIX + inbound.id)
+    return None
 
 
 def check_repeat(inbound: InboundRequest, class_settings: ClassSettings, prior: KeyRecord | None) -> None:
--- a/tests/races/test_clients_that_leave.py
+++ b/tests/races/test_clients_that_leave.py
@@ -13,7 +13,8 @@
 
 import pytest
 
-from tests.support.node_on_sockets import NodeHarness, run_with_node
+from tests.support.alternate_settings import alternate_settings
+from tests.support.node_on_sockets import NodeHarness, RespClient, run_with_node, until
 
 REQUESTS = 30
 TURNS = 60  # iterations of the event loop; more than the node needs to read all requests
@@ -83,3 +84,72 @@
         assert words.count("done") == len(ended) > 3 and set(words) <= {"done", "later", "error"}
 
     run_with_node(tmp_path, run)
+
+
+class Play:
+    """One piece of work whose client resets its connection, and that comes again under its id and its key."""
+
+    def __init__(self, harness: NodeHarness, request_class: str, has_key: bool) -> None:
+        self.harness, self.request_class = harness, request_class
+        self.fields: dict[str, Any] = {"once": "k"} if has_key else {}
+
+    async def send(self) -> RespClient:
+        """Send the work on a new connection."""
+        client = await self.harness.connect()
+        client.send_request(1, self.request_class, id=WORK_ID, **self.fields)
+        return client
+
+    async def leave(self, client: RespClient) -> None:
+        client.reset()
+        await until(lambda: len(self.harness.node.resp.connections) == 0)
+
+    async def reach(self, stage: str, client: RespClient) -> None:
+        """Bring the run to a stage, and let its client leave then."""
+        kernel = self.harness.kernel
+        await kernel.command_read("SCHED", WORK_ID)
+        if stage == "at a call":
+            kernel.request_call(WORK_ID)
+            await self.harness.database.call_read(WORK_ID)
+        await self.leave(client)
+        if stage == "ended":
+            kernel.end_run(WORK_ID)
+            await until(lambda: self.harness.core.in_flight == 0)
+
+    async def happens(self, event: str) -> None:
+        match event:
+            case "a reload":
+                await self.harness.reload(
+                    settings=alternate_settings(ramKb=6_500.0),
+                )
+            case "the deadline":
+                await self.harness.advance(1_940)  # within the window, which is 2 s for keyed work
+            case "a drain":
+                await self.harness.send_sigterm()
+
+
+WORK_ID = 0x77
+
+
+@pytest.mark.parametrize("event", ["nothing", "a reload", "the deadline", "a drain"])
+@pytest.mark.parametrize("stage", ["running", "at a call", "ended"])
+@pytest.mark.parametrize(
+    ("request_class", "has_key"), [(KEYED, True), (AT_MOST_ONCE, True), (AT_MOST_ONCE, False)]
+)
+def test_work_that_comes_again_after_its_client_has_left_runs_once(
+    request_class: str, has_key: bool, stage: str, event: str, tmp_path: Path
+) -> None:
+    # Guards against an effect that happens twice when a request is sent again under its id.
+    async def run(harness: NodeHarness) -> None:
+        play = Play(harness, request_class, has_key)
+        await play.reach(stage, await play.send())
+        await play.happens(event)
+        if harness.node.resp.listening:
+            again = await play.send()
+            await let_the_node_read(harness)
+            if stage == "running":
+                harness.kernel.end_run(WORK_ID)
+            await harness.advance(4_000)
+            assert await again.status_word(1) in ("done", "error")
+        assert started_ids(harness) == [f"{WORK_ID:016x}"]
+
+    run_with_node(tmp_path, run)
