Read all that has arrived before a timeout or a close acts

Since reads are limited in an iteration of the event loop, a loop that is late could time out a uwsgi packet of more than 16 KiB that had arrived whole, as one read follows the timer. Change: a timeout, and the close of an announced RESP connection, wait while input that has arrived is still read in the next iterations.

--- a/marlstep/frontends/base.py
+++ b/marlstep/frontends/base.py
@@ -110,6 +110,9 @@
     def _progress_timed_out(self, timer: Timer) -> None:
         if self._progress_timer is not timer:
             return  # the timer was stopped or replaced in the same turn of the event loop
+        if self.reads_on():
+            self.listener.timeline.after_reading(lambda: self._progress_timed_out(timer))
+            return
         self._progress_timer = None
         if not self.connected:
             return
--- a/marlstep/frontends/resp.py
+++ b/marlstep/frontends/resp.py
@@ -232,7 +232,7 @@
             len(self._request_handles),
             self._malformed,
             self.send_blocked,
-            incomplete_input=self.inbox.used > 0 or self._frames.inside_frame,
+            incomplete_input=self.inbox.used > 0 or self._frames.inside_frame or self.reads_on(),
         ):
             self._schedule_close()
         else:
--- a/marlstep/net/stream.py
+++ b/marlstep/net/stream.py
@@ -86,6 +86,14 @@
         """Return whether the socket holds bytes, or the end of the peer's stream, that were not read yet."""
         return bool(self._poll_socket() & select.POLLIN)
 
+    def reads_on(self) -> bool:
+        """Return whether input that has arrived is still to be read, in the next iterations of the event loop.
+
+        Reading may wait for its turn, but must not be paused for another reason.
+        """
+        is_reading = self._reading or self._yields
+        return is_reading and not (self.at_eof or self._finishing) and self.has_unread_input()
+
     def is_reset(self) -> bool:
         """Return whether the peer has reset the connection, which the loop reports only after all input was read."""
         return bool(self._poll_socket() & select.POLLERR)
--- a/tests/races/test_shutdown_and_reload.py
+++ b/tests/races/test_shutdown_and_reload.py
@@ -534,6 +534,28 @@
     run_with_node(tmp_path, run)
 
 
+def test_many_long_requests_that_cross_the_idle_close_are_all_served_although_the_loop_is_late(
+    tmp_path: Path,
+) -> None:
+    # Guards against a connection closed with more unread than it reads in one iteration of the loop.
+    async def run(harness: NodeHarness) -> None:
+        caller = await harness.connect()
+        caller.send(write_frame(b"ALIVE", b"1"))
+        await caller.response(1)
+        harness.only_connection.close_idle()
+        await caller.closing_frame()
+        tags = range(2, 34)
+        frames = b"".join(caller.frame(tag, "ping", b"x" * 2_048) for tag in tags)
+        unread_socket = caller.writer.get_extra_info("socket")
+        assert os.write(unread_socket.fileno(), frames) == len(frames)
+        harness.advance_unread(210 * MILLISECOND)
+        await harness.requests_read(len(tags))
+        await harness.advance(2_000)
+        assert {await caller.status_word(tag) for tag in tags} <= {"done", "later", "error"}
+
+    run_with_node(tmp_path, run)
+
+
 def test_the_rest_of_a_request_that_crosses_the_read_timeout_is_read_although_the_loop_is_late(
     tmp_path: Path,
 ) -> None:
