Answer the requests behind too many invalid ones

Cause: the eighth invalid request of a connection made it drop what lay complete in its inbox and read no more. PROCESS_AT_CAPACITY, the state of the process, counted as well. Evidence: the log names the limit; the lost requests lay behind the eighth, 0.2 s before the close was announced. Without removal none is lost. Change: the connection drains. What arrives within 200 ms of `0 closing` is answered, then it reads no more. PROCESS_AT_CAPACITY does not count.

--- a/marlstep/core/errors.py
+++ b/marlstep/core/errors.py
@@ -18,7 +18,7 @@
     """The intake rule that a request broke.
 
     All reasons but PROCESS_AT_CAPACITY are faults of the request. PROCESS_AT_CAPACITY means that this process already
-    holds its maximum number of requests in flight; frontends treat it like the other reasons.
+    holds its maximum number of requests in flight.
     """
 
     UNKNOWN_CLASS = "unknown_class"
--- a/marlstep/frontends/connection_end.py
+++ b/marlstep/frontends/connection_end.py
@@ -15,6 +15,7 @@
     IDLE = "idle"  # idle for too long, or its slot was needed
     DRAINING = "draining"  # the frontend stopped accepting
     FRAME_TIMEOUT = "frame_timeout"  # a frame was not complete in time
-    MALFORMED = "malformed"  # the stream could not be read, or too many requests were invalid
+    MALFORMED = "malformed"  # the stream could not be read
+    INVALID_REQUESTS = "invalid_requests"  # too many requests were invalid
     NOT_READ = "not_read"  # the peer did not read its responses
     ERROR = "error"  # handling its data failed
--- a/marlstep/frontends/errors.py
+++ b/marlstep/frontends/errors.py
@@ -25,7 +25,6 @@
     TAG = "a frame with a tag"
     REPEATED_TAG = "a tag that was not used before"
     TIMEOUT = "a complete frame in time"
-    INVALID_REQUESTS = "fewer invalid requests"
 
 
 class MalformedFrameError(RemoteProtocolError):
--- a/marlstep/frontends/resp.py
+++ b/marlstep/frontends/resp.py
@@ -10,7 +10,7 @@
 from datetime import timedelta
 
 from marlstep.core.engine import Core
-from marlstep.core.errors import RequestRejectedError
+from marlstep.core.errors import RejectionReason, RequestRejectedError
 from marlstep.core.interfaces import Backend, Response, ResponseStatus
 from marlstep.errors import RemoteProtocolError
 from marlstep.frontends import resp_policy
@@ -130,17 +130,19 @@
         return tag not in self._request_handles and self._tags.mark_used(tag)
 
     def _exec(self, command: ExecCommand) -> None:
-        """Submit a request; a request that the intake rejects gets `error` at once and counts as invalid.
+        """Submit a request; a request that the intake rejects gets `error` at once.
 
-        PROCESS_AT_CAPACITY counts as well, although it is the node's own state and not the peer's fault: the connection
-        closes after MAX_INVALID_REQUESTS of these too.
+        It counts as invalid, unless the reason is the state of this process and not a fault of the request.
         """
         if not resp_policy.accepts_another_request(len(self._request_handles)):
             self._reject_request(command.tag, f"over {resp_policy.MAX_OPEN_REQUESTS} open requests")
             return
         try:
             self.submit(command.tag, read_request(command.request_class, command.fields, command.body))
-        except (RemoteProtocolError, RequestRejectedError) as error:
+        except RequestRejectedError as error:
+            is_fault_of_request = error.reason is not RejectionReason.PROCESS_AT_CAPACITY
+            self._reject_request(command.tag, str(error), is_invalid=is_fault_of_request)
+        except RemoteProtocolError as error:
             self._reject_request(command.tag, str(error))
 
     def _forget(self, command: ForgetCommand) -> None:
@@ -149,15 +151,32 @@
         if not was_open and not self._tags.may_be_used(command.tag):
             self._count_invalid_request("FORGET of a tag that was never used")
 
-    def _reject_request(self, tag: int, reason: str) -> None:
+    def _reject_request(self, tag: int, reason: str, is_invalid: bool = True) -> None:
         self._send_frame(tag, ERROR_WORD, advertised_fields(self.frontend.core.advertised_value), b"")
-        self._count_invalid_request(reason)
+        if is_invalid:
+            self._count_invalid_request(reason)
+        else:
+            self.frontend.log_rejection("request rejected", reason)
 
     def _count_invalid_request(self, reason: str) -> None:
+        """Count an invalid request, and drain the connection once there are too many.
+
+        Requests of other clients may share it: those that arrive until the announced close are still answered.
+        """
         self.frontend.log_rejection("request rejected", reason)
         self._invalid_requests += 1
-        if resp_policy.has_too_many_invalid_requests(self._invalid_requests) and not self._malformed:
-            self._reject_stream(MalformedFrameError(FrameFault.INVALID_REQUESTS, str(self._invalid_requests)))
+        if self._has_too_many_invalid_requests and not self._closing_announced:
+            self.end_for(ConnectionEnd.INVALID_REQUESTS)
+            self.drain()
+
+    @property
+    def _has_too_many_invalid_requests(self) -> bool:
+        return resp_policy.has_too_many_invalid_requests(self._invalid_requests)
+
+    def _stop_reading(self) -> None:
+        """Discard the input from now on; the open requests still get their responses."""
+        self._malformed = True
+        self.inbox.skip(self.inbox.used)
 
     def _reject_stream(self, error: MalformedFrameError) -> None:
         """Stop reading and drain: close at once if no request is open, else after the last response."""
@@ -166,8 +185,7 @@
         self.frontend.log_rejection("malformed frame", str(error))
         if error.tag is not None and self._mark_tag_used(error.tag):
             self._reject_request(error.tag, str(error))
-        self._malformed = True
-        self.inbox.skip(self.inbox.used)
+        self._stop_reading()
         self.drain()
 
     # Sending of responses.
@@ -226,7 +244,12 @@
         timeline.at(due, lambda: timeline.after_reading(self._close_unless_postponed))
 
     def _close_unless_postponed(self) -> None:
-        """Close the connection, which the peer should have done by now, or wait for another CLOSE_DELAY."""
+        """Close the connection, which the peer should have done by now, or wait for another CLOSE_DELAY.
+
+        After too many invalid requests nothing more is read, so that a peer that goes on sending can't keep it open.
+        """
+        if self._has_too_many_invalid_requests:
+            self._stop_reading()
         if resp_policy.postpones_close(
             self.connected,
             len(self._request_handles),
--- a/marlstep/frontends/resp_policy.py
+++ b/marlstep/frontends/resp_policy.py
@@ -11,7 +11,7 @@
 READ_TIMEOUT = (
     1.5 * SECOND
 )  # to receive a complete frame; the first one is timed from the opening of the connection
-MAX_INVALID_REQUESTS = 8  # on one connection; the last of them closes it
+MAX_INVALID_REQUESTS = 8  # on one connection; the last of them drains it
 MAX_OPEN_REQUESTS = 32  # on one connection
 CLOSE_DELAY = 200 * MILLISECOND  # from the frame `0 closing` until a connection without open requests closes
 
@@ -25,8 +25,8 @@
 
 
 def has_too_many_invalid_requests(invalid_requests: int) -> bool:
-    """Whether a connection closes for its invalid requests, each of which costs parsing, a response and a log line."""
-    return invalid_requests == MAX_INVALID_REQUESTS
+    """Whether a connection drains for its invalid requests, each of which costs parsing and a response."""
+    return invalid_requests >= MAX_INVALID_REQUESTS
 
 
 def has_read_everything(at_eof: bool, send_blocked: bool) -> bool:
--- a/tests/races/test_idempotency_keys.py
+++ b/tests/races/test_idempotency_keys.py
@@ -169,6 +169,8 @@
     for tag in range(100, 108):
         assert not wire.closed
         driver.feed(wire, write_frame(b"FORGET", b"%d" % tag))  # unknown
+    assert wire.take() == write_frame(b"0", b"closing")
+    driver.clock.advance(250)  # longer than the delay of an announced close
     assert wire.closed
 
 
