Divide the reserve of call time between two processes

Cause: rate and capacity of the reserve came from the settings alone, so that both processes had the whole node's. Change: both follow the portion. A smaller one leaves the reserve at once, a larger one is only refilled, so that the sum holds also when one is killed.

--- a/marlstep/admission/call_reserve.py
+++ b/marlstep/admission/call_reserve.py
@@ -24,6 +24,16 @@
         self.available_us = self.available_us + capacity_us - self.capacity_us
         self.capacity_us = capacity_us
 
+    def set_portion(self, rate: float, capacity_us: float) -> None:
+        """Set rate and capacity (microseconds) after this process's portion of the server has changed.
+
+        What a smaller portion loses leaves the reserve at once. What a larger one gains is only refilled, as
+        the process that had it may have used it. The reserves of all processes stay within the server's.
+        """
+        self.rate = rate
+        self.available_us += min(0.0, capacity_us - self.capacity_us)
+        self.capacity_us = capacity_us
+
     def refill(self, elapsed_us: int) -> None:
         """Refill the reserve for the elapsed time in microseconds, up to its capacity."""
         self.available_us = min(self.capacity_us, self.available_us + self.rate * elapsed_us)
--- a/marlstep/admission/controller.py
+++ b/marlstep/admission/controller.py
@@ -208,6 +208,7 @@
 
     def _on_portion_changed(self, event: events.PortionChanged) -> None:
         self.state.set_portion(event.portion)
+        self.calls.apply_portion()
 
     def _on_backend_started(self, event: events.BackendStarted) -> None:
         self.state.set_backend_start(event.age_us, event.is_cold)
--- a/marlstep/admission/controller_state.py
+++ b/marlstep/admission/controller_state.py
@@ -140,7 +140,7 @@
 
     @property
     def _warms_up(self) -> bool:
-        """Whether the server starts with a part of its capacity, by its settings or by its backend's report."""
+        """Whether the server starts with a part of its capacity, by its settings or its backend."""
         return self.settings.warms_up or self._backend_started_cold
 
     def add(self, entry: Entry, unread_us: int) -> None:
--- a/marlstep/admission/downstream_calls.py
+++ b/marlstep/admission/downstream_calls.py
@@ -30,12 +30,21 @@
     lifecycle: RequestLifecycle
 
     def configure(self) -> None:
-        """Set rate and capacity of the call reserve; calls are bounded only for a shared dependency."""
+        """Set rate and capacity of the call reserve by new settings."""
+        rate = self._reserve_rate()
+        self.state.call_reserve.configure(rate, rate * self.state.settings.call_averaging_us)
+
+    def apply_portion(self) -> None:
+        """Set rate and capacity of the call reserve by a new portion of the server."""
+        rate = self._reserve_rate()
+        self.state.call_reserve.set_portion(rate, rate * self.state.settings.call_averaging_us)
+
+    def _reserve_rate(self) -> float:
+        """Return the rate of this process's reserve; 0 unless the dependency is shared."""
         settings = self.state.settings
-        rate = 0.0
-        if settings.dependency is Downstream.SHARED:
-            rate = CALL_RESERVE_FRACTION * settings.mean_calls_in_flight
-        self.state.call_reserve.configure(rate, rate * settings.call_averaging_us)
+        if settings.dependency is not Downstream.SHARED:
+            return 0.0
+        return CALL_RESERVE_FRACTION * settings.mean_calls_in_flight * self.state.portion
 
     def dispatch(self) -> None:
         """Make the calls for which there is capacity, and skip those whose runs are better off without."""
--- a/tests/admission/test_downstream_calls.py
+++ b/tests/admission/test_downstream_calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from marlstep.admission.actions import Call
-from marlstep.admission.events import CallEnded, CallNeeded, Outcome
+from marlstep.admission.events import CallEnded, CallNeeded, Outcome, PortionChanged, SettingsChanged
 from marlstep.admission.settings import Downstream, Effect
 from tests.support.helpers import MS, START, ControllerDriver, request_class
 
@@ -67,3 +67,18 @@
         waits.append(server.now - since)
     assert waits == sorted(waits) and waits[-1] > 10 * waits[0]
     assert server.step(CallEnded("a", Outcome.CONNECT_FAILED, 0)) == [("Fail", "a")]
+
+
+def test_the_call_reserve_follows_the_portion_of_this_process_and_new_settings() -> None:
+    # Guards against an upgrade in which both processes have the whole server's reserve of call time.
+    server = ControllerDriver(dependency=Downstream.SHARED, mean_calls_in_flight=10.0)
+    reserve = server.controller.state.call_reserve
+    whole_rate, whole_us = reserve.rate, reserve.capacity_us
+    server.step(PortionChanged(0.25))
+    assert (reserve.rate, reserve.capacity_us) == (whole_rate / 4, whole_us / 4)
+    server.step(SettingsChanged(server.settings))
+    assert (reserve.rate, reserve.capacity_us) == (whole_rate / 4, whole_us / 4)
+    available_us = reserve.available_us
+    server.step(PortionChanged(1.0))
+    assert (reserve.rate, reserve.capacity_us) == (whole_rate, whole_us)
+    assert reserve.available_us == available_us
