Leave half of the memory for keys to the keys of clients

Since ids stand for keys of at-most-once work, a flood of such work could fill the memory for keys, and keyed work would be rejected. Ids are recorded until half of it is used; beyond that the work runs unrecorded.

--- a/marlstep/core/intake.py
+++ b/marlstep/core/intake.py
@@ -23,6 +23,9 @@
 log = logging.getLogger(__name__)
 
 KEY_ROOM_LOG_INTERVAL = 1 * SECOND  # between two log lines about missing memory for keys
+ID_ROOM_DIVISOR = (
+    2  # ids that stand for a key are recorded until this part (1/n) of the memory for keys is used
+)
 
 
 class RequestIntake:
@@ -93,10 +96,11 @@
         return request.handle
 
     def _key_of(self, inbound: InboundRequest, class_settings: ClassSettings) -> IdempotencyKey | None:
-        """Return the key of a request. An id does without one if there is no memory for it."""
+        """Return the key of a request. An id does without one if that left too little memory for clients' keys."""
         key = key_of(inbound, class_settings)
-        is_key_of_id = key is not None and not inbound.idempotency_key
-        return None if is_key_of_id and not self._key_memory.has_room_for_key(len(self._keys)) else key
+        if key is None or inbound.idempotency_key:
+            return key
+        return key if self._key_memory.has_room_for_key(ID_ROOM_DIVISOR * len(self._keys)) else None
 
     def _reject_without_key_room(self, request: Request) -> None:
         """Reject new work whose key would not fit into memory. The controller never sees this request."""
