Move the listening socket out of the listener's module

The socket, its backlog and its close stand in listening_socket.py now; the listener keeps its methods.

--- a/marlstep/frontends/base.py
+++ b/marlstep/frontends/base.py
@@ -20,11 +20,7 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
-import os
-import select
-import socket
 from collections import Counter
 from datetime import timedelta
 
@@ -33,6 +29,7 @@
 from marlstep.frontends import connection_policy
 from marlstep.frontends.connection_end import ConnectionEnd
 from marlstep.frontends.connection_table import ConnectionTable
+from marlstep.frontends.listening_socket import ListeningSocket
 from marlstep.frontends.rejection_log import RejectionLog
 from marlstep.net.stream import RingStream
 from marlstep.slots import TableFullError
@@ -41,8 +38,6 @@
 
 log = logging.getLogger(__name__)
 
-LISTEN_BACKLOG = 512  # connections that the system queues before they are accepted
-PASSED_BACKLOG = 4096  # other processes listen on a passed socket too, and their backlog must not shrink
 REJECTIONS_PER_LOG_LINE = 100  # the first of every 100 rejected connections is logged
 
 
@@ -209,52 +204,38 @@
         self.read_timeout = read_timeout
         self.idle_timeout = idle_timeout
         self.draining = False
-        self.port = 0  # set by `listen`; the port that the system chose if 0 was configured
+        self._listening_socket = ListeningSocket(timeline)
         self._idle_sweep: Timer | None = None
         self.ends: Counter[ConnectionEnd] = Counter()  # connections that have ended, by reason
         self._end_log = RejectionLog(timeline.now())
         self._rejected_connections = 0
-        self._server: asyncio.Server | None = None
-        self._is_socket_passed = False
-        self._is_opening_last_connections = False  # accepted before the listening socket was closed
 
     def make(self) -> Connection:
         """Create the connection object for a peer that has connected."""
         raise NotImplementedError
 
+    @property
+    def port(self) -> int:
+        """The port that is listened on, also one that the system chose; 0 before `listen`."""
+        return self._listening_socket.port
+
     @property
     def listening(self) -> bool:
         """Whether new connections are accepted."""
-        return self._server is not None and self._server.is_serving()
+        return self._listening_socket.is_open
 
     @property
     def accepting(self) -> bool:
         """Whether connections are still added to the table, also after the listening socket was closed."""
-        return self.listening or self._is_opening_last_connections
+        return self._listening_socket.is_accepting
 
     async def listen(self, address: tuple[str, int], passed: int | None = None, shared: bool = False) -> None:
-        """Start accepting connections.
-
-        Args:
-            address: host and port.
-            passed: descriptor of a listening socket that this process inherited, used instead of `address`.
-            shared: whether another process may listen on the address at the same time.
+        """Start accepting connections; see `ListeningSocket.open`.
 
         Raises:
             OSError: the address or the passed socket cannot be listened on.
         """
-        host, port = address
-        loop = asyncio.get_running_loop()
-        if passed is None:
-            self._server = await loop.create_server(
-                self.make, host, port, backlog=LISTEN_BACKLOG, reuse_address=True, reuse_port=shared
-            )
-        else:
-            # Closing the duplicate leaves the passed descriptor open, so that this process can listen again.
-            duplicate = socket.socket(fileno=os.dup(passed))
-            self._server = await loop.create_server(self.make, sock=duplicate, backlog=PASSED_BACKLOG)
-        self.port = int(self._server.sockets[0].getsockname()[1])
-        self._is_socket_passed = passed is not None
+        await self._listening_socket.open(self.make, address, passed, shared)
 
     # Connection slots and idle connections.
 
@@ -370,41 +351,15 @@
     def stop_accepting(self) -> None:
         """Drain all connections, and close the listening socket once the connections in its backlog are accepted."""
         self.draining = True
-        self._close_listening_socket(LISTEN_BACKLOG)
+        self._listening_socket.close()
         for connection in self.connections:
             connection.end_for(ConnectionEnd.DRAINING)
             connection.drain()
 
-    def _close_listening_socket(self, max_accepts: int) -> None:
-        """Close the socket when its backlog is empty, or after `max_accepts` more iterations of the event loop.
-
-        The system resets the connections in the backlog of a socket that is closed, and the loop accepts only one
-        connection in each iteration. A passed socket is closed at once: its backlog is that of another process too.
-        """
-        if self._server is None or not self.draining:
-            return
-        if max_accepts > 0 and not self._is_socket_passed and self._has_backlog():
-            self.timeline.soon(lambda: self._close_listening_socket(max_accepts - 1))
-        elif self._server.is_serving():
-            self._server.close()
-            # The loop calls `Connection.opened` of the connection that it accepted last in its next iteration.
-            self._is_opening_last_connections = True
-            self.timeline.after_reading(self._last_connections_opened)
-
-    def _last_connections_opened(self) -> None:
-        self._is_opening_last_connections = False
-
-    def _has_backlog(self) -> bool:
-        """Whether connections wait to be accepted on the listening socket."""
-        assert self._server is not None
-        poll = select.poll()
-        for listening in self._server.sockets:
-            poll.register(listening.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
     def accept_again(self) -> None:
         """End the draining state, so that `listen` can be called again after `stop_accepting`."""
         self.draining = False
+        self._listening_socket.stay_open()
 
 
 class RequestListener(Listener):
