--- a/tests/test_resource_budget.py
+++ b/tests/test_resource_budget.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from marlstep.components.uwsgi import UwsgiComponent
 from marlstep.config import check
 from marlstep.core.request_registry import MAX_REQUESTS
 from marlstep.net.eventloop import LoopWaker
@@ -130,3 +131,19 @@
         assert limits == [37 << 20, 9 << 20, 37 << 20]
 
     asyncio.run(run())
+
+
+def test_a_node_limits_its_uwsgi_packets_and_more_so_beside_another_process() -> None:
+    async def run() -> None:
+        config = check(raw_config(limits={"memory_mb": 64, "sockets": 512}), UWSGI)
+        node = Node(config, TimerQueue(LoopWaker(asyncio.get_running_loop())))
+        uwsgi = node.components["uwsgi"]
+        assert isinstance(uwsgi, UwsgiComponent)
+        limits = [uwsgi.frontend.packet_memory.limit_bytes]
+        for share in (0.5, 1.0):
+            node.limit_capacity(share)
+            limits.append(uwsgi.frontend.packet_memory.limit_bytes)
+        alone, beside = packet_memory_budget(config, 1), packet_memory_budget(config, 2)
+        assert limits == [alone, beside, alone] and beside < alone
+
+    asyncio.run(run())
