Spare received packets where memory is freed for another one

A uwsgi connection that waits for the scan of its variables, or whose rest lies unread in its socket, counted as stalled after 100 ms and could be reset for the memory of another packet, though its own had been received whole. Found by reading the change again. Connections that wait for their scan are not candidates, those with unread input are spared; where none is left the new packet is answered 503. A rejected packet gives its memory back at once. Measured: both new tests of test_uwsgi.py failed before and pass.

--- a/marlstep/frontends/packet_memory.py
+++ b/marlstep/frontends/packet_memory.py
@@ -26,7 +26,7 @@
     """Reservations of bytes by connection, and which of them make room for others.
 
     A connection reserves the size that its packet declares before the packet arrives. Memory is taken back only from
-    connections whose packets are incomplete, as their requests have not been received.
+    connections that await input: the requests of the others may have been received.
 
     Attributes:
         limit_bytes: bytes for all reservations together.
@@ -46,13 +46,13 @@
         return self.reserved_bytes > self.limit_bytes
 
     def reserve(self, holder: Holder, packet_bytes: int, now: datetime) -> None:
-        """Reserve memory for an incomplete packet from which input has arrived, in place of its earlier reservation."""
+        """Reserve memory for a packet of which input has arrived and more is awaited, in place of its reservation."""
         self._resize(holder, packet_bytes)
         reading = self._reading.setdefault(holder, Reading(now, now))
         reading.last_input_at = now
 
-    def mark_complete(self, holder: Holder) -> None:
-        """Record that a packet is complete; its memory stays reserved until `release`."""
+    def await_nothing(self, holder: Holder) -> None:
+        """Record that no input is awaited: the packet is complete, or may be. Its memory stays reserved."""
         self._reading.pop(holder, None)
 
     def release(self, holder: Holder) -> None:
@@ -60,18 +60,16 @@
         self._reading.pop(holder, None)
         self.reserved_bytes -= self._sizes.pop(holder, 0)
 
-    def holder_to_evict(self, now: datetime) -> Holder | None:
-        """Return the connection to close for another one, if any may be.
+    def evictable(self, now: datetime) -> list[Holder]:
+        """Return the connections that may be closed for another one, the first to close first.
 
-        It is the one without input for longest. Where all send, it is the one that has been read for longest.
+        First come those without input for longest. Where all send, those follow that have been read for longest.
         """
-        if not self._reading:
-            return None
-        stalled = min(self._reading, key=lambda holder: self._reading[holder].last_input_at)
-        if now - self._reading[stalled].last_input_at >= MIN_STALL:
+        by_input = sorted(self._reading.items(), key=lambda item: item[1].last_input_at)
+        stalled = [holder for holder, reading in by_input if now - reading.last_input_at >= MIN_STALL]
+        if stalled:
             return stalled
-        oldest = next(iter(self._reading))
-        return oldest if now - self._reading[oldest].began_at >= MIN_STALL else None
+        return [holder for holder, reading in self._reading.items() if now - reading.began_at >= MIN_STALL]
 
     def _resize(self, holder: Holder, size: int) -> None:
         self.reserved_bytes += size - self._sizes.get(holder, 0)
--- a/marlstep/frontends/uwsgi.py
+++ b/marlstep/frontends/uwsgi.py
@@ -65,6 +65,10 @@
         turns.leave(self)
         return True
 
+    @property
+    def _waits_for_scan(self) -> bool:
+        return self.frontend.scan_turns.is_waiting(self)
+
     def _resume_scan(self) -> None:
         self.frontend.connections.mark_unproven(self)
         self.handle_input()
@@ -83,14 +87,16 @@
     def _handle(self, packet: Packet | None) -> None:
         if packet is not None:
             self._packet_done = True
-            self.frontend.packet_memory.mark_complete(self)
+            self.frontend.packet_memory.await_nothing(self)
             self.frontend.connections.mark_proven(self)
             self.stop_progress_timer()
             self._submit(packet)
-        elif self.at_eof and not self.frontend.scan_turns.is_waiting(self):
+        elif self.at_eof and not self._waits_for_scan:
             self.finish()  # the client ended its stream within the packet, so there is no request to respond to
         elif not self.frontend.reserve_memory(self, self._packets.declared_bytes):
             self._refuse_for_memory()
+        elif self._waits_for_scan:
+            self.frontend.packet_memory.await_nothing(self)  # the packet may be complete
 
     def _submit(self, packet: Packet) -> None:
         """Submit the request, or respond with the status of its rejection.
@@ -111,7 +117,7 @@
     def _reject(self, status: int, reason: str) -> None:
         self.frontend.log_rejection("request rejected", reason, f"frontend=uwsgi status={status}")
         self._packet_done = True
-        self._packets.discard()
+        self.release_packet()
         self.end_for(ConnectionEnd.MALFORMED)
         self._respond(write_response(status, {}, reason))
 
@@ -135,7 +141,7 @@
 
     def timed_out(self) -> None:
         """Close without a response if the packet was not complete in time."""
-        if self.frontend.scan_turns.is_waiting(self):
+        if self._waits_for_scan:
             self.start_progress_timer()  # the client waits for this process
         elif uwsgi_policy.closes_at_timeout(len(self._request_handles)):
             self.end_for(ConnectionEnd.FRAME_TIMEOUT)
@@ -200,16 +206,21 @@
         return span(self.core.settings.max_retry_after_us)
 
     def reserve_memory(self, connection: UwsgiConnection, packet_bytes: int) -> bool:
-        """Reserve memory for a packet, and close connections that stall for it; False if there is none."""
+        """Reserve memory for a packet, and close connections that stall for it; False if there is none.
+
+        A connection with unread input is spared, as its packet may be complete with it.
+        """
         memory, now = self.packet_memory, self.timeline.now()
         memory.reserve(connection, packet_bytes, now)
-        while memory.is_exceeded:
-            evicted = memory.holder_to_evict(now)
-            if evicted is None or evicted is connection:
-                return False
-            evicted.release_packet()
-            self.evict(evicted)
-        return True
+        if not memory.is_exceeded:
+            return True
+        for evicted in memory.evictable(now):
+            if evicted is not connection and not evicted.has_unread_input():
+                evicted.release_packet()
+                self.evict(evicted)
+            if not memory.is_exceeded:
+                return True
+        return False
 
     def log_rejection(self, event: str, reason: str, details: str = "") -> None:
         """Log a rejection, rate-limited by `RejectionLog`."""
--- a/tests/frontends/test_packet_memory.py
+++ b/tests/frontends/test_packet_memory.py
@@ -29,8 +29,9 @@
         memory.reserve(name, SIZE, START)
     memory.reserve("slow", SIZE, START + 90 * MILLISECOND)
     memory.reserve("later", SIZE, START + 20 * MILLISECOND)
-    assert memory.holder_to_evict(START + MIN_STALL - MILLISECOND) is None
-    assert memory.holder_to_evict(START + MIN_STALL) == "stalled"
+    assert memory.evictable(START + MIN_STALL - MILLISECOND) == []
+    assert memory.evictable(START + MIN_STALL) == ["stalled"]
+    assert memory.evictable(START + 2 * MIN_STALL) == ["stalled", "later", "slow"]
 
 
 def test_where_all_send_the_one_that_is_read_for_longest_makes_room() -> None:
@@ -39,15 +40,15 @@
     memory.reserve("second", SIZE, START + 50 * MILLISECOND)
     for name in ("second", "first"):
         memory.reserve(name, SIZE, START + 90 * MILLISECOND)
-    assert memory.holder_to_evict(START + 95 * MILLISECOND) is None
-    assert memory.holder_to_evict(START + 120 * MILLISECOND) == "first"
+    assert memory.evictable(START + 95 * MILLISECOND) == []
+    assert memory.evictable(START + 120 * MILLISECOND) == ["first"]
 
 
-def test_a_complete_packet_keeps_its_memory_and_is_never_closed_for_others() -> None:
+def test_a_packet_of_which_nothing_is_awaited_keeps_its_memory_and_is_not_closed_for_others() -> None:
     memory: PacketMemory[str] = PacketMemory(SIZE)
     memory.reserve("a", SIZE, START)
-    memory.mark_complete("a")
-    assert memory.holder_to_evict(START + 10 * MIN_STALL) is None and memory.reserved_bytes == SIZE
+    memory.await_nothing("a")
+    assert memory.evictable(START + 10 * MIN_STALL) == [] and memory.reserved_bytes == SIZE
 
 
 def test_the_sum_of_reservations_is_exact_in_any_order_of_events() -> None:
@@ -60,7 +61,7 @@
                 sizes[holder] = size = source.randrange(5_000)
                 memory.reserve(holder, size, START)
             case 1:
-                memory.mark_complete(holder)
+                memory.await_nothing(holder)
             case _:
                 sizes.pop(holder, None)
                 memory.release(holder)
--- a/tests/frontends/test_uwsgi.py
+++ b/tests/frontends/test_uwsgi.py
@@ -6,7 +6,7 @@
 from marlstep.frontends.rejection_log import MAX_LINES_PER_SECOND
 from marlstep.frontends.uwsgi import UwsgiConnection
 from marlstep.frontends.uwsgi_wire import write_packet
-from marlstep.units import SECOND
+from marlstep.units import MILLISECOND, SECOND
 from tests.core.test_repeats import KEYED
 from tests.frontends.support import READ_VARIABLES, RESPONSE, UwsgiHarness
 from tests.support.node import FakeTransport
@@ -309,3 +309,37 @@
     assert b"Retry-After: 1\r\n" in bytes(connection.written) and status(connection) == 503
     harness.node.clock.settle()
     assert harness.node.core.counts["read"] == 0 and harness.frontend.packet_memory.reserved_bytes == 0
+
+
+def exceed_packet_memory(harness: UwsgiHarness) -> FakeTransport:
+    """Feed half a packet for which there is no memory, later than a stalled connection may be closed for it."""
+    harness.frontend.packet_memory.limit_bytes = harness.frontend.packet_memory.reserved_bytes
+    harness.node.clock.time += 150 * MILLISECOND
+    connection = harness.connect()
+    connection.feed(HALF_PACKET)
+    return connection
+
+
+def test_a_packet_that_waits_for_its_scan_is_not_closed_for_the_memory_of_another() -> None:
+    # Guards against a request that has been received whole and is reset.
+    harness = UwsgiHarness()
+    scanned, waiting = harness.connect(), harness.connect()
+    scanned.feed(large_packet(1))
+    waiting.feed(large_packet(2))
+    assert status(exceed_packet_memory(harness)) == 503 and not waiting.closed
+    harness.node.clock.settle()
+    assert harness.node.core.counts["read"] == 2
+
+
+def test_a_connection_with_unread_input_is_not_closed_for_the_memory_of_another(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a request whose rest has arrived while the loop is late, and is reset.
+    harness = UwsgiHarness()
+    unread = harness.connect()
+    unread.feed(HALF_PACKET)
+    monkeypatch.setattr(unread.stream, "has_unread_input", lambda: True)
+    assert status(exceed_packet_memory(harness)) == 503 and not unread.closed
+    unread.feed(b"x" * 50)
+    harness.node.clock.settle()
+    assert harness.node.core.counts["read"] == 1
