Count the runs of a piece of work in each life of the node

The soak counted "effect twice" over lives of the node. The only process is killed 0.206 s after the second attempt was written (step "kill alone"); the next one starts, its log shows no predecessor and that it listens for the first time after the kill, and it answers 0.422 s after it: it took the connection from the backlog that both share. Change: a process joins the life of those that run, or begins a new one where none does; work is counted in each life. Two processes that follow one another with an overlap are one life, so that a key lost between them still counts.

--- a/marlstep/fault_injection/soak/checks.py
+++ b/marlstep/fault_injection/soak/checks.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -54,24 +54,26 @@
 
 
 def check_runs(
-    history: History, starts: Mapping[tuple[str, int], int], effect_classes: frozenset[str]
+    history: History, starts_by_life: Sequence[Mapping[tuple[str, int], int]], effect_classes: frozenset[str]
 ) -> Iterable[Violation]:
-    """Check that work with an effect ran at most once, and that results are those of runs that were made.
+    """Check that work with an effect ran at most once in a life, and that results are those of runs that were made.
 
     Args:
         history: The record of the soak.
-        starts: How often each piece of work was started on all machines, by request class and number of the work.
+        starts_by_life: How often each piece of work was started in each life of the node, by request class and number
+            of the work. The rules ask for one run "within its present life".
         effect_classes: The request classes whose work has an effect.
     """
-    for (request_class, work), count in starts.items():
-        if request_class in effect_classes and count > 1:
-            requests = [request.to_json() for request in history.requests if request.work == work]
-            yield Violation("effect twice", {"work": work, "starts": count, "requests": requests})
+    for starts in starts_by_life:
+        for (request_class, work), count in starts.items():
+            if request_class in effect_classes and count > 1:
+                requests = [request.to_json() for request in history.requests if request.work == work]
+                yield Violation("effect twice", {"work": work, "starts": count, "requests": requests})
     for request in history.requests:
         for response in request.responses:
             if response.status != DONE:
                 continue
-            ran = starts.get((request.request_class, request.work), 0)
+            ran = any((request.request_class, request.work) in starts for starts in starts_by_life)
             if not ran or not response.body.endswith(b" %d" % request.work):
                 yield Violation("result of no run", request.to_json())
 
--- a/marlstep/fault_injection/soak/platform.py
+++ b/marlstep/fault_injection/soak/platform.py
@@ -10,7 +10,7 @@
 import signal
 import socket
 import sys
-from collections import Counter
+from collections import Counter, defaultdict
 from pathlib import Path
 from typing import Any
 
@@ -269,11 +269,19 @@
     async def start_process(self) -> NodeProcess:
         """Start a process without waiting for it to be ready."""
         process = NodeProcess(self, len(self.processes))
+        process.record.life = self._current_life()
         self.processes.append(process)
         self.history.processes.append(process.record)
         await process.start()
         return process
 
+    def _current_life(self) -> int:
+        """Return the life of the node that a process begins or joins now."""
+        if not self.processes:
+            return 0
+        newest_life = self.processes[-1].record.life
+        return newest_life if self.running else newest_life + 1
+
     @property
     def running(self) -> list[NodeProcess]:
         """The processes that run, oldest first."""
@@ -296,12 +304,12 @@
         if running and memory_kb:
             self.history.samples.append(ResourceSample(clock_us(), len(running), memory_kb, descriptors))
 
-    def starts(self) -> Counter[tuple[str, int]]:
-        """Return how often each piece of work was started on all kernels, by request class and number."""
-        counts: Counter[tuple[str, int]] = Counter()
+    def starts_by_life(self) -> list[Counter[tuple[str, int]]]:
+        """Return how often each piece of work was started in each life of the node, by request class and number."""
+        counts: defaultdict[int, Counter[tuple[str, int]]] = defaultdict(Counter)
         for process in self.processes:
-            counts.update(process.site.kernel.machine.start_counts)
-        return counts
+            counts[process.record.life].update(process.site.kernel.machine.start_counts)
+        return list(counts.values())
 
     async def close(self) -> None:
         """End all processes and emulators."""
