--- a/tests/frontends/support.py
+++ b/tests/frontends/support.py
@@ -64,10 +64,10 @@
 class UwsgiHarness:
     """A uwsgi frontend and connections of its clients. Keyword arguments replace keys of the settings."""
 
-    def __init__(self, cores: int = 2, **other: Any) -> None:
+    def __init__(self, cores: int = 2, limit: int = 8, **other: Any) -> None:
         self.node = CoreDriver(cores, **other)
         self.frontend = UwsgiFrontend(
-            self.node.core, self.node.clock.timeline, self.node.backend, 8, 2 * SECOND, MAPPING, 100
+            self.node.core, self.node.clock.timeline, self.node.backend, limit, 2 * SECOND, MAPPING, 100
         )
         self.node.core.add_frontend(self.frontend)
         self.number = 0
--- a/tests/net/test_stream.py
+++ b/tests/net/test_stream.py
@@ -10,6 +10,12 @@
 import pytest
 import uvloop
 
+from marlstep.admin.http import HttpConnection
+from marlstep.cluster.incoming_connection import IncomingConnection
+from marlstep.frontends.resp import RespConnection
+from marlstep.frontends.uwsgi import UwsgiConnection
+from marlstep.hot_restart.connection import PeerConnection
+from marlstep.net.lines import LineStream
 from marlstep.net.stream import MAX_READ_BYTES, RingStream
 
 SENT_BYTES = 512 * 1024
@@ -65,3 +71,13 @@
         read = runner.run(asyncio.wait_for(run(), 20))
     assert read.total() == SENT_BYTES
     assert max(read.values()) <= MAX_READ_BYTES
+
+
+@pytest.mark.parametrize(
+    "connection",
+    [RespConnection, UwsgiConnection, HttpConnection, PeerConnection, IncomingConnection, LineStream],
+)
+def test_every_connection_reads_within_the_limit_of_its_base(connection: type[RingStream]) -> None:
+    # Guards against a connection of its own kind, of clients, operators, processes or peers, that holds the loop.
+    for method in ("get_buffer", "buffer_updated"):
+        assert getattr(connection, method) is getattr(RingStream, method)
--- a/tests/races/test_shutdown_and_reload.py
+++ b/tests/races/test_shutdown_and_reload.py
@@ -515,14 +515,20 @@
     run_with_node(tmp_path, run)
 
 
+async def connect_until_idle_close(harness: NodeHarness) -> RespClient:
+    """Return a client whose connection was idle, and to which the node has announced to close it."""
+    client = await harness.connect()
+    client.send(write_frame(b"ALIVE", b"1"))
+    await client.response(1)
+    harness.only_connection.close_idle()
+    await client.closing_frame()
+    return client
+
+
 def test_a_request_that_crosses_the_idle_close_is_served_although_the_loop_is_late(tmp_path: Path) -> None:
     # Guards against a connection closed with a request unread: a late loop runs timers before it reads.
     async def run(harness: NodeHarness) -> None:
-        caller = await harness.connect()
-        caller.send(write_frame(b"ALIVE", b"1"))
-        await caller.response(1)
-        harness.only_connection.close_idle()
-        await caller.closing_frame()
+        caller = await connect_until_idle_close(harness)
         unread_socket = caller.writer.get_extra_info("socket")
         os.write(unread_socket.fileno(), caller.frame(2, "ping"))  # sent before the peer read `0 closing`
         harness.advance_unread(210 * MILLISECOND)
@@ -539,11 +545,7 @@
 ) -> None:
     # Guards against a connection closed with more unread than it reads in one iteration of the loop.
     async def run(harness: NodeHarness) -> None:
-        caller = await harness.connect()
-        caller.send(write_frame(b"ALIVE", b"1"))
-        await caller.response(1)
-        harness.only_connection.close_idle()
-        await caller.closing_frame()
+        caller = await connect_until_idle_close(harness)
         tags = range(2, 34)
         frames = b"".join(caller.frame(tag, "ping", b"x" * 2_048) for tag in tags)
         unread_socket = caller.writer.get_extra_info("socket")
