Share the loop's time between RESP connections with many frames

A time slice for each connection still lets hundreds of them take seconds of an iteration: beside 300 connections with 500 small frames each, another client's health check waited 2.1 s on and 2.3 s since. Change: a connection handles 8 frames as they arrive, and more in 20 ms of an iteration that all share, in order. A reset connection's end has a reason of its own in the log.

--- a/benchmarks/client_floods.py
+++ b/benchmarks/client_floods.py
@@ -197,6 +197,11 @@
     return frame(*words)[:-1024]
 
 
+def tags_with_gaps() -> bytes:
+    """Return health checks under every other number."""
+    return b"".join(frame(b"ALIVE", b"%d" % tag) for tag in range(10**19, 10**19 + 1_000, 2))
+
+
 @dataclass(slots=True, frozen=True)
 class Scenario:
     """One kind of bad client."""
@@ -241,6 +246,10 @@
     "resp-half-frame": Scenario(
         lambda port, until: stall(port, RESP_CONNECTIONS, half_frame(), until), seconds=ROUNDS * STALL_S
     ),
+    "resp-gaps-half-frame": Scenario(
+        lambda port, until: stall(port, RESP_CONNECTIONS, tags_with_gaps() + half_frame(), until),
+        seconds=ROUNDS * STALL_S,
+    ),
     "resp-trickle": Scenario(
         lambda port, until: trickle(port, RESP_CONNECTIONS, half_frame(), until), seconds=ROUNDS * STALL_S
     ),
--- a/marlstep/admission/controller_state.py
+++ b/marlstep/admission/controller_state.py
@@ -63,7 +63,7 @@
         self.last_runnable_arrival_at = NEVER
         self.respond_by = NEVER
         self._started_at: int | None = (
-            None  # the warm-up counts from here: the backend's start, once it is known
+            None  # the start of the backend, or of this process until that is known
         )
         self._has_begun = False  # the first turn has begun
         self._backend_started_cold = False
--- a/marlstep/core/intake.py
+++ b/marlstep/core/intake.py
@@ -23,9 +23,7 @@
 log = logging.getLogger(__name__)
 
 KEY_ROOM_LOG_INTERVAL = 1 * SECOND  # between two log lines about missing memory for keys
-ID_ROOM_DIVISOR = (
-    2  # ids that stand for a key are recorded until this part (1/n) of the memory for keys is used
-)
+ID_KEY_SHARE_DIVISOR = 2  # ids are kept as keys in up to this part (1/n) of the memory for keys
 
 
 class RequestIntake:
@@ -100,7 +98,7 @@
         key = key_of(inbound, class_settings)
         if key is None or inbound.idempotency_key:
             return key
-        return key if self._key_memory.has_room_for_key(ID_ROOM_DIVISOR * len(self._keys)) else None
+        return key if self._key_memory.has_room_for_key(ID_KEY_SHARE_DIVISOR * len(self._keys)) else None
 
     def _reject_without_key_room(self, request: Request) -> None:
         """Reject new work whose key would not fit into memory. The controller never sees this request."""
--- a/marlstep/core/intake_checks.py
+++ b/marlstep/core/intake_checks.py
@@ -14,7 +14,7 @@
 from marlstep.core.served_settings import ServedSettings
 from marlstep.core.work_identity import IdempotencyKey
 
-KEY_OF_ID_PREFIX = "id,"  # no key of a RESP client has a comma
+ID_KEY_PREFIX = "id,"  # no key of a RESP client has a comma
 
 
 def check_served(inbound: InboundRequest, served: ServedSettings, now: datetime) -> ClassSettings:
@@ -55,8 +55,8 @@
         return None
     if inbound.idempotency_key:
         return IdempotencyKey(inbound.request_class, inbound.idempotency_key, inbound.key_scope)
-    if class_settings.effect is Effect.AT_MOST_ONCE and inbound.id_is_clients:
-        return IdempotencyKey(inbound.request_class, KEY_OF_ID_PREFIX + inbound.id)
+    if class_settings.effect is Effect.AT_MOST_ONCE and inbound.id_chosen_by_client:
+        return IdempotencyKey(inbound.request_class, ID_KEY_PREFIX + inbound.id)
     return None
 
 
--- a/marlstep/core/interfaces.py
+++ b/marlstep/core/interfaces.py
@@ -43,7 +43,7 @@
         key_scope: the scope of that name; see `IdempotencyKey`.
         digest: the digest of what the request does, by which it is compared with other requests under its key. Empty if
             no other work can have the same name.
-        id_is_clients: whether the client chose the id, so that the same request may come again under it.
+        id_chosen_by_client: whether the client chose the id, so that the same request may come again under it.
     """
 
     id: str
@@ -61,7 +61,7 @@
     idempotency_key: str | None = None
     key_scope: str = ""
     digest: str = ""
-    id_is_clients: bool = False
+    id_chosen_by_client: bool = False
 
 
 class ClaimResult(enum.Enum):
--- a/marlstep/fault_injection/soak/checks.py
+++ b/marlstep/fault_injection/soak/checks.py
@@ -54,17 +54,19 @@
 
 
 def check_runs(
-    history: History, starts_by_life: Sequence[Mapping[tuple[str, int], int]], effect_classes: frozenset[str]
+    history: History,
+    starts_by_incarnation: Sequence[Mapping[tuple[str, int], int]],
+    effect_classes: frozenset[str],
 ) -> Iterable[Violation]:
-    """Check that work with an effect ran at most once in a life, and that results are those of runs that were made.
+    """Check that work with an effect ran at most once in an incarnation, and results are those of runs.
 
     Args:
         history: The record of the soak.
-        starts_by_life: How often each piece of work was started in each life of the node, by request class and number
-            of the work. The rules ask for one run "within its present life".
+        starts_by_incarnation: How often each piece of work was started in each incarnation of the node, by class and
+            number of the work. The rules ask for one run "within its present life".
         effect_classes: The request classes whose work has an effect.
     """
-    for starts in starts_by_life:
+    for starts in starts_by_incarnation:
         for (request_class, work), count in starts.items():
             if request_class in effect_classes and count > 1:
                 requests = [request.to_json() for request in history.requests if request.work == work]
@@ -73,7 +75,7 @@
         for response in request.responses:
             if response.status != DONE:
                 continue
-            ran = any((request.request_class, request.work) in starts for starts in starts_by_life)
+            ran = any((request.request_class, request.work) in starts for starts in starts_by_incarnation)
             if not ran or not response.body.endswith(b" %d" % request.work):
                 yield Violation("result of no run", request.to_json())
 
--- a/marlstep/fault_injection/soak/history.py
+++ b/marlstep/fault_injection/soak/history.py
@@ -83,8 +83,8 @@
     Attributes:
         number: Its number in the soak, from 0.
         pid: Its process id.
-        life: The life of the node that it belongs to, from 0. A life ends when no process of the node runs; the next
-            one knows nothing of it.
+        incarnation: The incarnation of the node that it belongs to, from 0. One ends when no process of the node runs;
+            the next one knows nothing of it.
         killed_early: Whether it was killed before the platform's earliest time after SIGTERM.
         killed_at_stop: Whether it still ran at that time, and was killed then.
         exit_code: Its exit code, as of a subprocess; None while it runs.
@@ -93,7 +93,7 @@
 
     number: int
     pid: int
-    life: int = 0
+    incarnation: int = 0
     killed_early: bool = False
     killed_at_stop: bool = False
     exit_code: int | None = None
--- a/marlstep/fault_injection/soak/platform.py
+++ b/marlstep/fault_injection/soak/platform.py
@@ -269,18 +269,18 @@
     async def start_process(self) -> NodeProcess:
         """Start a process without waiting for it to be ready."""
         process = NodeProcess(self, len(self.processes))
-        process.record.life = self._current_life()
+        process.record.incarnation = self._current_incarnation()
         self.processes.append(process)
         self.history.processes.append(process.record)
         await process.start()
         return process
 
-    def _current_life(self) -> int:
-        """Return the life of the node that a process begins or joins now."""
+    def _current_incarnation(self) -> int:
+        """Return the incarnation of the node that a process begins or joins now."""
         if not self.processes:
             return 0
-        newest_life = self.processes[-1].record.life
-        return newest_life if self.running else newest_life + 1
+        newest = self.processes[-1].record.incarnation
+        return newest if self.running else newest + 1
 
     @property
     def running(self) -> list[NodeProcess]:
@@ -304,11 +304,11 @@
         if running and memory_kb:
             self.history.samples.append(ResourceSample(clock_us(), len(running), memory_kb, descriptors))
 
-    def starts_by_life(self) -> list[Counter[tuple[str, int]]]:
-        """Return how often each piece of work was started in each life of the node, by request class and number."""
+    def starts_by_incarnation(self) -> list[Counter[tuple[str, int]]]:
+        """Return how often each piece of work was started in each incarnation of the node, by class and number."""
         counts: defaultdict[int, Counter[tuple[str, int]]] = defaultdict(Counter)
         for process in self.processes:
-            counts[process.record.life].update(process.site.kernel.machine.start_counts)
+            counts[process.record.incarnation].update(process.site.kernel.machine.start_counts)
         return list(counts.values())
 
     async def close(self) -> None:
--- a/marlstep/fault_injection/soak/run.py
+++ b/marlstep/fault_injection/soak/run.py
@@ -132,7 +132,7 @@
     effect_classes = frozenset(item.name for item in classes if item.has_key)
     violations = [
         *checks.check_requests(history),
-        *checks.check_runs(history, platform.starts_by_life(), effect_classes),
+        *checks.check_runs(history, platform.starts_by_incarnation(), effect_classes),
         *checks.check_processes(history),
         *checks.check_resources(history, checks.Limits(MEMORY_MB * 1024, DESCRIPTORS)),
         *checks.check_reports(history),
--- a/marlstep/frontends/base.py
+++ b/marlstep/frontends/base.py
@@ -69,7 +69,7 @@
     def handle_input(self) -> None:
         """Handle the input, but not that of a client that has reset the connection and can get no response to it."""
         if self.is_reset():
-            self.inbox.skip(self.inbox.used)
+            self.end_for(ConnectionEnd.RESET)
             self.abort()
         else:
             super().handle_input()
@@ -104,8 +104,8 @@
 
     def _progress_timed_out(self, timer: Timer) -> None:
         if self._progress_timer is not timer:
-            return  # the timer was stopped or replaced in the same turn of the event loop
-        if self.reads_on():
+            return  # the timer was stopped or replaced in the same iteration of the event loop
+        if self.has_input_to_read():
             self.listener.timeline.after_reading(lambda: self._progress_timed_out(timer))
             return
         self._progress_timer = None
--- a/marlstep/frontends/connection_end.py
+++ b/marlstep/frontends/connection_end.py
@@ -8,7 +8,8 @@
 class ConnectionEnd(enum.Enum):
     """The first cause of the end of a connection. The values appear in logs."""
 
-    PEER = "peer"  # the peer closed or reset it, or its response was the last
+    PEER = "peer"  # the peer closed or reset it with nothing left to handle, or its response was the last
+    RESET = "reset"  # by the peer, with input that was not handled
     TABLE_FULL = "table_full"  # no slot was free
     EVICTED = "evicted"  # unproven, and its slot was needed
     NO_MEMORY = "no_memory"  # for its packet
--- a/marlstep/frontends/packet_memory.py
+++ b/marlstep/frontends/packet_memory.py
@@ -51,8 +51,8 @@
         reading = self._reading.setdefault(holder, Reading(now, now))
         reading.last_input_at = now
 
-    def await_nothing(self, holder: Holder) -> None:
-        """Record that no input is awaited: the packet is complete, or may be. Its memory stays reserved."""
+    def mark_received(self, holder: Holder) -> None:
+        """Record that a packet has been received whole, or may have been. Its memory stays reserved."""
         self._reading.pop(holder, None)
 
     def release(self, holder: Holder) -> None:
--- a/marlstep/frontends/resp.py
+++ b/marlstep/frontends/resp.py
@@ -36,6 +36,7 @@
 )
 from marlstep.frontends.resp_tags import TagTracker
 from marlstep.frontends.resp_wire import FrameReader, write_fields, write_frame, write_response_frame
+from marlstep.frontends.time_slices import TimeSlices
 from marlstep.timer_queue import TimerQueue
 
 RING_SIZE = 4 * 1024  # bytes; frames are read word by word, and the longest word has 2 KiB
@@ -56,7 +57,6 @@
         self._malformed = False  # no more frames are read from the stream
         self._frame_overdue = False  # the frame that is being read exceeded the read timeout
         self._invalid_requests = 0
-        self._turn_ends_at = self.opened_at
 
     def opened(self) -> None:
         """Occupy a slot in the connection table; drain at once if the frontend is draining."""
@@ -65,8 +65,13 @@
             self.end_for(ConnectionEnd.DRAINING)
             self.drain()
 
+    def closed(self) -> None:
+        """Leave the queue for time of the event loop, and free the slot."""
+        self.frontend.time_slices.remove(self)
+        super().closed()
+
     def data_received(self) -> None:
-        """Handle all complete frames, or as many as `resp_policy.MAX_TURN` allows."""
+        """Handle all complete frames, or as many as the time of this iteration allows."""
         frames_read = self._handle_frames()
         if self._malformed:
             self.inbox.skip(self.inbox.used)
@@ -76,10 +81,8 @@
             self.finish()
 
     def _handle_frames(self) -> int:
-        """Handle complete frames until none is left or the turn is over. Return their number."""
-        timeline, frames_read = self.frontend.timeline, 0
-        if not self.continues_turn:
-            self._turn_ends_at = timeline.now() + resp_policy.MAX_TURN
+        """Handle complete frames until none is left or the time is used up. Return their number."""
+        frames_read = 0
         while not self._malformed and not self.send_blocked:
             try:
                 words = self._frames.next(self.inbox)
@@ -89,13 +92,16 @@
                 self._handle(parse_command(words))
             except MalformedFrameError as error:
                 self._reject_stream(error)
-            if resp_policy.checks_turn(frames_read) and timeline.now() >= self._turn_ends_at:
-                self.continue_later()
+            if resp_policy.needs_shared_time(frames_read) and self.frontend.time_slices.is_used_up():
+                self.hold_back_input()
+                self.frontend.time_slices.enqueue(self, self.continue_input)
                 break
         return frames_read
 
     @property
     def _waits_for_peer(self) -> bool:
+        if self.is_held_back:
+            return False  # the peer waits for this process
         return resp_policy.waits_for_peer(
             self.send_blocked,
             self.inbox.used,
@@ -266,7 +272,7 @@
             len(self._request_handles),
             self._malformed,
             self.send_blocked,
-            incomplete_input=self.inbox.used > 0 or self._frames.inside_frame or self.reads_on(),
+            incomplete_input=self.inbox.used > 0 or self._frames.inside_frame or self.has_input_to_read(),
         ):
             self._schedule_close()
         else:
@@ -282,6 +288,7 @@
         """Create a frontend that does not listen yet; for the arguments see `Listener`."""
         super().__init__(core, timeline, backend, limit, resp_policy.READ_TIMEOUT, idle_timeout)
         self._rejection_log = RejectionLog(timeline.now())
+        self.time_slices = TimeSlices(timeline.now, timeline.soon)
 
     def make(self) -> RespConnection:
         """Create the connection object for a peer that has connected."""
--- a/marlstep/frontends/resp_fields.py
+++ b/marlstep/frontends/resp_fields.py
@@ -164,7 +164,9 @@
     except UnicodeDecodeError:
         raise InvalidFieldError("class", "a name in ASCII", request_class) from None
     digest = body_digest(body) if values.get("idempotency_key") else ""
-    return InboundRequest(request_class=class_name, body=body, digest=digest, id_is_clients=True, **values)
+    return InboundRequest(
+        request_class=class_name, body=body, digest=digest, id_chosen_by_client=True, **values
+    )
 
 
 def response_fields(response: Response, advertised_value: float | None) -> Mapping[str, str]:
--- a/marlstep/frontends/resp_policy.py
+++ b/marlstep/frontends/resp_policy.py
@@ -13,8 +13,7 @@
 )  # to receive a complete frame; the first one is timed from the opening of the connection
 MAX_INVALID_REQUESTS = 8  # on one connection; the last of them drains it
 MAX_OPEN_REQUESTS = 32  # on one connection
-MAX_TURN = 10 * MILLISECOND  # of the event loop, before other connections have their turn
-FRAMES_PER_TURN_CHECK = 16  # between two looks at the clock
+FREE_FRAMES = 8  # that a connection handles as they arrive, and between two questions for shared time
 CLOSE_DELAY = 200 * MILLISECOND  # from the frame `0 closing` until a connection without open requests closes
 
 
@@ -31,16 +30,16 @@
     return invalid_requests >= MAX_INVALID_REQUESTS
 
 
-def checks_turn(frames_read: int) -> bool:
-    """Whether to look, after this number of frames, if the connection has used up `MAX_TURN`."""
-    return frames_read % FRAMES_PER_TURN_CHECK == 0
+def needs_shared_time(frames_read: int) -> bool:
+    """Whether a connection handles more frames only if there is time for it (`time_slices`)."""
+    return frames_read % FREE_FRAMES == 0
 
 
 def has_read_everything(at_eof: bool, holds_back_input: bool) -> bool:
     """Whether all requests that the peer sent before it ended its stream have been read.
 
     The end of the stream alone is not enough: while the peer does not read its responses, or the connection waits for
-    its next turn, complete requests may be left in the inbox. They are served first.
+    time of the event loop, complete requests may be left in the inbox. They are served first.
     """
     return at_eof and not holds_back_input
 
--- a/marlstep/frontends/uwsgi.py
+++ b/marlstep/frontends/uwsgi.py
@@ -18,7 +18,7 @@
 from marlstep.frontends.errors import InvalidPacketError
 from marlstep.frontends.packet_memory import PacketMemory
 from marlstep.frontends.rejection_log import RejectionLog
-from marlstep.frontends.scan_turns import SMALL_BLOCK_BYTES, ScanTurns
+from marlstep.frontends.scan_scheduler import SMALL_BLOCK_BYTES, ScanScheduler
 from marlstep.frontends.uwsgi_mapping import UwsgiMapping
 from marlstep.frontends.uwsgi_requests import http_response, read_request, variables_of_requests
 from marlstep.frontends.uwsgi_wire import Packet, PacketReader, write_response
@@ -39,8 +39,8 @@
         self.frontend = frontend
         self._packets = PacketReader(frontend.body_limit, frontend.variable_names)
         self._packet_done = False  # the packet is complete, or rejected
-        self._scan_turns: ScanTurns | None = (
-            None  # which grants the scan of this packet; None before it is needed
+        self._scans: ScanScheduler | None = (
+            None  # schedules the scan of this packet; None before it is needed
         )
 
     def data_received(self) -> None:
@@ -56,21 +56,21 @@
             self.inbox.skip(self.inbox.used)
 
     def _may_scan(self, size: int) -> bool:
-        """Take a turn for the scan of a block of variables, or wait for one.
+        """Return whether a block of variables may be scanned now, and queue this connection if not.
 
-        A connection that waits is not evicted as unproven: its packet may be complete.
+        A connection that is queued is not evicted as unproven: its packet may be complete.
         """
-        turns = self._scan_turns = self.frontend.scan_turns_for(size)
-        if not turns.take(size):
-            turns.wait(self, self._resume_scan)
+        scans = self._scans = self.frontend.scans_of(size)
+        if not scans.admit(size):
+            scans.enqueue(self, self._resume_scan)
             self.frontend.connections.mark_proven(self)
             return False
-        turns.leave(self)
+        scans.remove(self)
         return True
 
     @property
     def _waits_for_scan(self) -> bool:
-        return self._scan_turns is not None and self._scan_turns.is_waiting(self)
+        return self._scans is not None and self._scans.is_queued(self)
 
     def _resume_scan(self) -> None:
         self.frontend.connections.mark_unproven(self)
@@ -78,8 +78,8 @@
 
     def closed(self) -> None:
         """Leave the queue for a scan, release the packet's memory, and free the slot."""
-        if self._scan_turns is not None:
-            self._scan_turns.leave(self)
+        if self._scans is not None:
+            self._scans.remove(self)
         self.release_packet()
         super().closed()
 
@@ -91,7 +91,7 @@
     def _handle(self, packet: Packet | None) -> None:
         if packet is not None:
             self._packet_done = True
-            self.frontend.packet_memory.await_nothing(self)
+            self.frontend.packet_memory.mark_received(self)
             self.frontend.connections.mark_proven(self)
             self.stop_progress_timer()
             self._submit(packet)
@@ -100,7 +100,7 @@
         elif not self.frontend.reserve_memory(self, self._packets.declared_bytes):
             self._refuse_for_memory()
         elif self._waits_for_scan:
-            self.frontend.packet_memory.await_nothing(self)  # the packet may be complete
+            self.frontend.packet_memory.mark_received(self)  # the packet may be complete
 
     def _submit(self, packet: Packet) -> None:
         """Submit the request, or respond with the status of its rejection.
@@ -192,8 +192,8 @@
         self.pool_of = pool_of
         self.mapping = mapping
         self.body_limit = body_limit
-        self._small_scan_turns = ScanTurns(timeline.soon)
-        self._large_scan_turns = ScanTurns(timeline.soon)
+        self._small_block_scans = ScanScheduler(timeline.soon)
+        self._large_block_scans = ScanScheduler(timeline.soon)
         self.packet_memory: PacketMemory[UwsgiConnection] = PacketMemory(packet_memory_bytes)
         self._rejection_log = RejectionLog(timeline.now())
         self._request_count = 0
@@ -210,10 +210,10 @@
         """The longest Retry-After that callers respect."""
         return span(self.core.settings.max_retry_after_us)
 
-    def scan_turns_for(self, block_bytes: int) -> ScanTurns:
-        """Return what grants the scan of a block of variables of this size."""
+    def scans_of(self, block_bytes: int) -> ScanScheduler:
+        """Return what schedules the scan of a block of variables of this size."""
         is_small = block_bytes <= SMALL_BLOCK_BYTES
-        return self._small_scan_turns if is_small else self._large_scan_turns
+        return self._small_block_scans if is_small else self._large_block_scans
 
     def reserve_memory(self, connection: UwsgiConnection, packet_bytes: int) -> bool:
         """Reserve memory for a packet, and close connections that stall for it; False if there is none.
--- a/marlstep/net/stream.py
+++ b/marlstep/net/stream.py
@@ -6,7 +6,7 @@
 
 A connection reads a limited number of bytes in an iteration of the event loop, so that a peer that sends without a
 pause does not delay the others. The loop itself would read from it again as long as each read fills its buffer. A
-subclass whose messages take long can also leave a part of its input to the next iteration (`continue_later`).
+subclass whose messages take long can also leave a part of its input until later (`hold_back_input`).
 """
 
 from __future__ import annotations
@@ -56,8 +56,7 @@
         self._read_limit = 0  # size of the buffer that asyncio reads into, in bytes
         self._read_bytes = 0  # in this iteration of the event loop, if any read in it has filled its buffer
         self._yields = False  # reads no more in this iteration
-        self._has_begun_iteration = True  # no callback is due that begins the next one
-        self._continues_later = False  # input is left in the inbox to the next iteration
+        self.is_held_back = False  # complete messages may be left in the inbox until `continue_input`
         self._poll: select.poll | None = None  # of the socket; made when it is first needed
         self._finishing = False
         self.at_eof = False  # the peer has ended its stream
@@ -97,26 +96,27 @@
     @property
     def holds_back_input(self) -> bool:
         """Whether complete messages may be left in the inbox: the peer does not read, or the rest follows later."""
-        return self.send_blocked or self._continues_later
+        return self.send_blocked or self.is_held_back
 
-    @property
-    def continues_turn(self) -> bool:
-        """Whether input was handled in this iteration of the event loop before, and more was to be expected."""
-        return not self._has_begun_iteration
+    def hold_back_input(self) -> None:
+        """Leave the rest of the inbox, and read no more, until `continue_input` is called."""
+        self.is_held_back = True
+        self._update_reading()
 
-    def continue_later(self) -> None:
-        """Leave the rest of the inbox to the next iteration of the event loop, and read no more until then."""
-        self._continues_later = self._yields = True
-        self._schedule_iteration()
+    def continue_input(self) -> None:
+        """Handle the input that was held back, and read again."""
+        self.is_held_back = False
+        if self.connected:
+            self.handle_input()
 
     def has_unread_input(self) -> bool:
         """Return whether the socket holds bytes, or the end of the peer's stream, that were not read yet."""
         return bool(self._poll_socket() & select.POLLIN)
 
-    def reads_on(self) -> bool:
+    def has_input_to_read(self) -> bool:
         """Return whether input that has arrived is still to be read, in the next iterations of the event loop.
 
-        Reading may wait for its turn, but must not be paused for another reason.
+        Reading may wait for the next iteration, but must not be paused for another reason.
         """
         is_reading = self._reading or self._yields
         return is_reading and not (self.at_eof or self._finishing) and self.has_unread_input()
@@ -151,8 +151,8 @@
 
     def handle_input(self) -> None:
         """Call `data_received` for what is in the inbox, and abort the connection if that fails."""
-        if self._continues_later:
-            return  # the turn of this iteration is over
+        if self.is_held_back:
+            return
         if self._finishing:
             self.inbox.skip(self.inbox.used)
             return
@@ -190,12 +190,13 @@
             transport.close()
 
     def _update_reading(self) -> None:
-        """Pause or resume reading: it requires space in the inbox, an empty overflow queue, and this one's turn."""
+        """Pause or resume reading: it requires space in the inbox, and that no input is held back."""
         transport = self._transport
         if transport is None or transport.is_closing():
             return
         has_space = self.inbox.used < self.inbox.size
-        should_read = has_space and not self._finishing and not self._overflow and not self._yields
+        must_wait = self.send_blocked or self._yields or self.is_held_back
+        should_read = has_space and not self._finishing and not must_wait
         if should_read and not self._reading:
             transport.resume_reading()
         elif not should_read and self._reading:
@@ -227,27 +228,16 @@
 
     def _count_read(self, nbytes: int) -> None:
         """Count bytes read in this iteration of the event loop, and read no more in it once the limit is reached."""
-        self._schedule_iteration()
+        if not self._read_bytes:
+            self.run_soon(self._begin_iteration)
         self._read_bytes += nbytes
         if self._read_bytes >= MAX_READ_BYTES:
             self._yields = True
             self._update_reading()
 
-    def _schedule_iteration(self) -> None:
-        if self._has_begun_iteration:
-            self._has_begun_iteration = False
-            self.run_soon(self._begin_iteration)
-
     def _begin_iteration(self) -> None:
-        """Read again, and first handle the input that was left to this iteration."""
-        continues, yields = self._continues_later, self._yields
-        self._has_begun_iteration, self._read_bytes = True, 0
-        self._continues_later = self._yields = False
-        if continues and self.connected:
-            self.handle_input()
-            self._schedule_iteration()  # what is read in this iteration belongs to the same turn
-        elif yields:
-            self._update_reading()
+        self._read_bytes, self._yields = 0, False
+        self._update_reading()
 
     def eof_received(self) -> bool:
         """Handle the end of the peer's stream."""
--- a/tests/fault_injection/test_soak.py
+++ b/tests/fault_injection/test_soak.py
@@ -114,9 +114,9 @@
     effect_classes = frozenset({"list"})
     once, twice = {("list", 1): 1}, {("list", 1): 2}
     assert not list(check_runs(history, [once], effect_classes))
-    for lives in ([twice], [{}, twice], [once, twice]):
-        assert [item.kind for item in check_runs(history, lives, effect_classes)] == ["effect twice"]
-    assert not list(check_runs(history, [once, once], effect_classes))  # the next life knows no keys
+    for incarnations in ([twice], [{}, twice], [once, twice]):
+        assert [item.kind for item in check_runs(history, incarnations, effect_classes)] == ["effect twice"]
+    assert not list(check_runs(history, [once, once], effect_classes))  # the next incarnation knows no keys
     assert not list(check_runs(history, [twice], frozenset()))
     assert [item.kind for item in check_runs(history, [{}], effect_classes)] == ["result of no run"]
 
--- a/tests/frontends/test_packet_memory.py
+++ b/tests/frontends/test_packet_memory.py
@@ -47,7 +47,7 @@
 def test_a_packet_of_which_nothing_is_awaited_keeps_its_memory_and_is_not_closed_for_others() -> None:
     memory: PacketMemory[str] = PacketMemory(SIZE)
     memory.reserve("a", SIZE, START)
-    memory.await_nothing("a")
+    memory.mark_received("a")
     assert memory.evictable(START + 10 * MIN_STALL) == [] and memory.reserved_bytes == SIZE
 
 
@@ -61,7 +61,7 @@
                 sizes[holder] = size = source.randrange(5_000)
                 memory.reserve(holder, size, START)
             case 1:
-                memory.await_nothing(holder)
+                memory.mark_received(holder)
             case _:
                 sizes.pop(holder, None)
                 memory.release(holder)
--- a/tests/frontends/test_resp.py
+++ b/tests/frontends/test_resp.py
@@ -5,10 +5,11 @@
 import pytest
 
 from marlstep.core.interfaces import ClaimCallback, ClaimResult
-from marlstep.frontends import resp_policy
 from marlstep.frontends.resp_wire import write_frame
+from marlstep.frontends.time_slices import SHARED_TIME, TimeSlices
 from marlstep.units import SECOND
 from tests.frontends.support import FIELDS, START_MS, RespHarness, exec_frame, instant_ms
+from tests.support.node import START, FakeTransport
 
 
 def test_a_response_carries_the_tag_and_the_result_unchanged() -> None:
@@ -437,38 +438,48 @@
 class SteppingClock:
     """A clock that advances by a step with each look at it."""
 
-    def __init__(self, harness: RespHarness, step: timedelta) -> None:
-        self._now, self._step = harness.node.clock.now(), step
+    def __init__(self, step: timedelta) -> None:
+        self._now, self._step = START, step
 
     def now(self) -> datetime:
         self._now += self._step
         return self._now
 
 
-def test_a_connection_leaves_frames_to_the_next_iteration_once_its_turn_is_over(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    # Guards against other clients that wait while one connection's many small frames are handled; on a slow machine
-    # a number of bytes says little about the time.
+def flooded_harness(step: timedelta) -> RespHarness:
+    """Return a frontend whose shared time is used up after `SHARED_TIME / step` questions."""
     harness = RespHarness()
-    connection = harness.connect()
-    monkeypatch.setattr(harness.frontend.timeline, "now", SteppingClock(harness, resp_policy.MAX_TURN).now)
-    tags = range(1, 2 * resp_policy.FRAMES_PER_TURN_CHECK + 9)
-    answered = []
-    connection.feed(b"".join(write_frame(b"ALIVE", b"%d" % tag) for tag in tags))
+    harness.frontend.time_slices = TimeSlices(SteppingClock(step).now, harness.node.clock.timeline.soon)
+    return harness
+
+
+def health_checks(count: int) -> bytes:
+    return b"".join(write_frame(b"ALIVE", b"%d" % tag) for tag in range(1, count + 1))
+
+
+def answer_count(connection: FakeTransport) -> int:
+    return connection.take().count(b"healthy")
+
+
+def test_a_connection_leaves_frames_to_later_iterations_once_the_time_is_used_up() -> None:
+    # Guards against other clients that wait while many small frames are handled; on a slow machine a number of bytes
+    # says little about the time.
+    harness = flooded_harness(SHARED_TIME)
+    connection, other = harness.connect(), harness.connect()
+    connection.feed(health_checks(40))
     connection.stream.eof_received()  # complete frames are left, so the connection stays open
-    answered.append(connection.take().count(b"healthy"))
-    while not connection.closed:
-        connection.begin_iteration()
-        answered.append(connection.take().count(b"healthy"))
-    assert answered == [16, 16, 8] and sum(answered) == len(tags)
+    other.feed(health_checks(1))
+    answered = [answer_count(connection)]
+    assert answer_count(other) == 1
+    harness.node.clock.advance(2_000)  # a connection that is held back is not timed out
+    answered.append(answer_count(connection))
+    assert answered[0] == 16 and sum(answered) == 40 and connection.closed
 
 
-def test_a_reset_between_two_turns_ends_a_connection_with_its_frames(monkeypatch: pytest.MonkeyPatch) -> None:
-    harness = RespHarness()
+def test_a_reset_ends_a_connection_that_is_held_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    harness = flooded_harness(SHARED_TIME)
     connection = harness.connect()
-    monkeypatch.setattr(harness.frontend.timeline, "now", SteppingClock(harness, resp_policy.MAX_TURN).now)
-    connection.feed(b"".join(write_frame(b"ALIVE", b"%d" % tag) for tag in range(1, 41)))
+    connection.feed(health_checks(40))
     monkeypatch.setattr(connection.stream, "is_reset", lambda: True)
-    connection.begin_iteration()
-    assert connection.closed and connection.take().count(b"healthy") == 16
+    harness.node.clock.settle()
+    assert connection.closed and answer_count(connection) == 16
--- a/tests/frontends/test_resp_fields.py
+++ b/tests/frontends/test_resp_fields.py
@@ -38,7 +38,7 @@
         body=b"body",
         arrived_at=EPOCH + 5 * MILLISECOND,
         memory_kb=1.5,
-        id_is_clients=True,
+        id_chosen_by_client=True,
     )
 
 
--- a/tests/frontends/test_scan_turns.py
+++ b/tests/frontends/test_scan_scheduler.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable
 from functools import partial
 
-from marlstep.frontends.scan_turns import MAX_SCANNED_BYTES, ScanTurns
+from marlstep.frontends.scan_scheduler import MAX_SCANNED_BYTES, ScanScheduler
 
 
 class Scanner:
-    """Scans blocks when it is their turn, in iterations of an event loop that the test begins."""
+    """Scans blocks when they are admitted, in iterations of an event loop that the test begins."""
 
     def __init__(self) -> None:
-        self.turns = ScanTurns(self._run_soon)
+        self.scans = ScanScheduler(self._run_soon)
         self.scanned: list[str] = []
         self._next_iteration: list[Callable[[], None]] = []
 
@@ -20,11 +20,11 @@
         self._next_iteration.append(callback)
 
     def scan(self, name: str, size: int) -> None:
-        if self.turns.take(size):
-            self.turns.leave(name)
+        if self.scans.admit(size):
+            self.scans.remove(name)
             self.scanned.append(name)
         else:
-            self.turns.wait(name, partial(self.scan, name, size))
+            self.scans.enqueue(name, partial(self.scan, name, size))
 
     def run_iteration(self) -> str:
         """Run the next iteration; return the names that were scanned in it."""
@@ -41,7 +41,7 @@
     for name in "abcdefgh":
         scanner.scan(name, MAX_SCANNED_BYTES // 3)
     assert "".join(scanner.scanned) == "abc"
-    scanner.turns.leave("e")
+    scanner.scans.remove("e")
     assert [scanner.run_iteration() for _ in range(3)] == ["dfg", "h", ""]
 
 
@@ -53,17 +53,17 @@
     assert [scanner.run_iteration() for _ in range(3)] == ["b", "c", ""]
 
 
-def test_one_that_waits_keeps_its_place_before_later_ones_of_any_size() -> None:
+def test_a_queued_block_keeps_its_place_before_later_ones_of_any_size() -> None:
     scanner = Scanner()
     scanner.scan("a", MAX_SCANNED_BYTES)
     for name, size in (("b", MAX_SCANNED_BYTES), ("c", 1), ("b", MAX_SCANNED_BYTES), ("d", 1)):
         scanner.scan(name, size)
-    assert scanner.turns.is_waiting("b")
+    assert scanner.scans.is_queued("b")
     assert [scanner.run_iteration() for _ in range(3)] == ["b", "cd", ""]
-    assert not scanner.turns.is_waiting("b")
+    assert not scanner.scans.is_queued("b")
 
 
-def test_a_new_block_does_not_take_the_turn_of_one_that_waits() -> None:
+def test_a_new_block_is_not_scanned_before_a_queued_one() -> None:
     scanner = Scanner()
     scanner.scan("a", MAX_SCANNED_BYTES - 1)
     scanner.scan("b", MAX_SCANNED_BYTES)
--- a/tests/hot_restart/test_ids_of_at_most_once_work.py
+++ b/tests/hot_restart/test_ids_of_at_most_once_work.py
@@ -17,7 +17,7 @@
 
 
 def submit(process: SimulatedProcess) -> int:
-    return process.driver.submit(1, AT_MOST_ONCE, id_is_clients=True)
+    return process.driver.submit(1, AT_MOST_ONCE, id_chosen_by_client=True)
 
 
 def start_count(pair: ProcessPair) -> int:
@@ -57,10 +57,10 @@
 
 def test_a_request_that_never_ran_may_come_again_under_its_id() -> None:
     driver = CoreDriver()
-    driver.submit(1, AT_MOST_ONCE, id_is_clients=True)
+    driver.submit(1, AT_MOST_ONCE, id_chosen_by_client=True)
     driver.end(1, Outcome.NOT_STARTED)
     assert driver.statuses(1) == [ResponseStatus.REJECTED]
-    driver.submit(1, AT_MOST_ONCE, id_is_clients=True)
+    driver.submit(1, AT_MOST_ONCE, id_chosen_by_client=True)
     driver.end(1)
     assert driver.statuses(1) == [ResponseStatus.REJECTED, ResponseStatus.DONE]
 
@@ -70,7 +70,7 @@
     driver = CoreDriver(cores=8)
     driver.core.limit_key_memory(8 * KEY_MEMORY)
     for number in range(1, 10):
-        driver.submit(number, AT_MOST_ONCE, id_is_clients=True)
+        driver.submit(number, AT_MOST_ONCE, id_chosen_by_client=True)
         driver.end(number)
     assert [driver.statuses(number) for number in range(1, 10)] == [[ResponseStatus.DONE]] * 9
     assert driver.core._key_memory.max_keys == 7 and len(driver.core.idempotency_keys) == 4
